--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# The two commands of the README are `make demo` and `make test`.
+GOBIN := $(shell go env GOPATH)/bin
+GOLANGCI := v2.15.0
+GOFUMPT := v0.12.0
+
+.PHONY: build demo test lint check tools
+
+build:
+	go build -o bin/bergamotloom ./cmd/bergamotloom
+
+tools:
+	@test -x $(GOBIN)/gofumpt && $(GOBIN)/gofumpt -version | grep -q $(GOFUMPT) || go install mvdan.cc/gofumpt@$(GOFUMPT)
+	@test -x $(GOBIN)/golangci-lint && $(GOBIN)/golangci-lint version | grep -q $(GOLANGCI:v%=%) || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI)
+
+lint: tools
+	@files=$$($(GOBIN)/gofumpt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "not formatted:"; echo "$$files"; exit 1; }
+	go vet ./...
+	$(GOBIN)/golangci-lint run --allow-parallel-runners ./...
+
+test: lint build
+	go test -race -timeout 20m ./...
--- /dev/null
+++ b/cmd/bergamotloom/main.go
@@ -0,0 +1,22 @@
+// Command bergamotloom is the whole product in one binary: the node beside
+// each target, the operators' commands, the stand-ins and the bench.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bergamotloom.example/verbs"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return verbs.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
--- /dev/null
+++ b/record/record.go
@@ -0,0 +1,10 @@
+// Package record holds one row of the platform's table service.
+package record
+
+// Record is one row as it was read.
+type Record struct {
+	Key   string
+	Value []byte
+	// Version counts the writes to this key from 1.
+	Version int64
+}
--- /dev/null
+++ b/refuse/refuse.go
@@ -0,0 +1,85 @@
+// Package refuse holds the value that stands for a request that wasn't
+// answered by its target, and writes it as a problem document (RFC 9457).
+package refuse
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"bergamotloom.example/reason"
+	"bergamotloom.example/runst"
+)
+
+const millisPerSecond = 1000
+
+// Refusal says why a request was refused and whether it ran. It's a value: the
+// With methods return changed copies.
+type Refusal struct {
+	Reason           reason.Reason
+	Ran              runst.State
+	RetryAfterMillis int64
+	Detail           string
+}
+
+// New returns a refusal of a request that never ran.
+func New(r reason.Reason) Refusal {
+	return Refusal{Reason: r, Ran: runst.Never}
+}
+
+// WithRan returns the refusal with another run state.
+func (r Refusal) WithRan(s runst.State) Refusal {
+	r.Ran = s
+	return r
+}
+
+// WithRetryAfter returns the refusal with the time after which the caller may
+// ask again, in milliseconds.
+func (r Refusal) WithRetryAfter(millis int64) Refusal {
+	r.RetryAfterMillis = millis
+	return r
+}
+
+// WithDetail returns the refusal with a sentence about this very request. It
+// must not hold a key, a token or an internal address.
+func (r Refusal) WithDetail(detail string) Refusal {
+	r.Detail = detail
+	return r
+}
+
+// problem is the body of a refusal, as RFC 9457 names its members; those of
+// our own are in Pascal case.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Reason string `json:"Reason"`
+	Ran    string `json:"Ran"`
+}
+
+// Write sends the refusal as the response. The status, Retry-After (in whole
+// seconds, rounded up, for 429 and 503) and the run state header are set.
+func (r Refusal) Write(w http.ResponseWriter) error {
+	status := r.Reason.Status()
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(runst.Header, string(r.Ran))
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatInt(r.retryAfterSeconds(), 10))
+	}
+	w.WriteHeader(status)
+	return json.NewEncoder(w).Encode(problem{
+		Type:   "urn:bergamotloom:refusal:" + string(r.Reason),
+		Title:  r.Reason.Text(),
+		Status: status,
+		Detail: r.Detail,
+		Reason: string(r.Reason),
+		Ran:    string(r.Ran),
+	})
+}
+
+func (r Refusal) retryAfterSeconds() int64 {
+	seconds := (r.RetryAfterMillis + millisPerSecond - 1) / millisPerSecond
+	return max(seconds, 1)
+}
--- /dev/null
+++ b/team/team.go
@@ -0,0 +1,28 @@
+// Package team holds what the configuration says of one team.
+package team
+
+// Team is a customer that sends requests. It's a value and never changes.
+type Team struct {
+	// Name identifies the team in the configuration, reports and logs.
+	Name string
+	// Rate is the number of requests a second that the team may send, counted
+	// over all nodes together.
+	Rate float64
+	// Burst is the number of requests that it may send at once above Rate.
+	Burst float64
+	// Keys holds the hashes of the team's keys, as `key new` prints them.
+	Keys []string
+}
+
+// WithKeys returns the team with other key hashes.
+func (t Team) WithKeys(keys []string) Team {
+	t.Keys = keys
+	return t
+}
+
+// WithRate returns the team with another rate (requests a second) and burst.
+func (t Team) WithRate(rate, burst float64) Team {
+	t.Rate = rate
+	t.Burst = burst
+	return t
+}
