Add first versions of admission, choice, early refusal and retries

The decisions under load as pure packages on the clock: a gate with a short queue, an adaptive limit and a threshold for its callers; a chooser of instances; a filter at the entry that learns from answers; a retry allowance that is carried over the chain and a ratio that bounds it. None of them locks.

--- /dev/null
+++ b/choose/choose_test.go
@@ -0,0 +1,98 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/choose"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/level"
+	"bergamotloom.example/member"
+	"bergamotloom.example/rank"
+)
+
+func fleet(local, remote int) []member.Member {
+	var all []member.Member
+	for i := range local + remote {
+		m := member.Member{ID: fmt.Sprint("n", i), Service: "stock", Centre: "A", Ready: true}
+		if i >= local {
+			m.Centre = "B"
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// picks counts which instances get the next n requests, if none ever ends.
+func picks(c *choose.Chooser, n int) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		m, ok := c.Pick("stock")
+		if ok {
+			c.Started(m.ID)
+			counts[m.ID]++
+		}
+	}
+	return counts
+}
+
+func TestOwnCentreGoesFirstAndEvenly(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	o := choose.New(c, "A", 1)
+	o.Update(fleet(2, 2))
+	counts := picks(o, 100)
+	assert.Equal(t, counts["n0"]+counts["n1"], 100)
+	assert.Assert(t, counts["n0"] >= 48 && counts["n1"] >= 48)
+}
+
+func TestClosedCentreSpillsOver(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	o := choose.New(c, "A", 1)
+	o.Update(fleet(1, 1))
+	for range 20 {
+		o.Started("n0")
+		o.Ended("n0", false, 0, 0)
+	}
+	assert.Assert(t, picks(o, 20)["n1"] > 15)
+	assert.Assert(t, !o.Refuses("stock", rank.Sheddable))
+}
+
+func TestRefusesWhenAllAreClosedUntilProbesAreDue(t *testing.T) {
+	c, advance := clock.NewManual(0)
+	o := choose.New(c, "A", 1)
+	o.Update(fleet(1, 0))
+	for range 20 {
+		o.Started("n0")
+		o.Ended("n0", false, 0, level.New(rank.Critical, 0.5))
+	}
+	assert.Assert(t, o.Refuses("stock", rank.Sheddable))
+	assert.Assert(t, !o.Refuses("stock", rank.Critical))
+	advance(2000)
+	assert.Assert(t, !o.Refuses("stock", rank.Sheddable))
+}
+
+func TestLostInstanceIsSkippedForAWhile(t *testing.T) {
+	c, advance := clock.NewManual(0)
+	o := choose.New(c, "A", 1)
+	o.Update(fleet(2, 0))
+	o.Lost("n0", 500)
+	assert.Equal(t, picks(o, 10)["n0"], 0)
+	m, ok := o.Pick("stock", "n1")
+	assert.Assert(t, ok && m.ID == "n0")
+	advance(600)
+	assert.Assert(t, picks(o, 10)["n0"] > 0)
+	_, ok = o.Pick("stock", "n0", "n1")
+	assert.Assert(t, !ok)
+}
+
+func TestNewInstanceStartsSlowly(t *testing.T) {
+	c, advance := clock.NewManual(0)
+	o := choose.New(c, "A", 1)
+	o.Update(fleet(3, 0))
+	o.Update(fleet(4, 0))
+	assert.Assert(t, picks(o, 120)["n3"] < 15)
+	advance(10_000)
+	assert.Assert(t, picks(o, 120)["n3"] > 30)
+}
--- /dev/null
+++ b/early/early_test.go
@@ -0,0 +1,34 @@
+package early_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/early"
+	"bergamotloom.example/level"
+	"bergamotloom.example/rank"
+)
+
+func TestFilterFollowsAnswersAndOpensAgain(t *testing.T) {
+	c, advance := clock.NewManual(0)
+	f := early.New(c)
+	for range 30 {
+		f.Learn("browse", "a", level.New(rank.Normal, 0.5), 1)
+		f.Learn("browse", "b", level.New(rank.Normal, 0.5), 0.5)
+	}
+	_, ok := f.Passes("browse", "a", rank.Critical, 0.999)
+	assert.Assert(t, ok)
+	_, ok = f.Passes("browse", "a", rank.Sheddable, 0)
+	assert.Assert(t, !ok)
+	share, ok := f.Passes("browse", "a", rank.Normal, 0.3)
+	assert.Assert(t, ok && share > 0.49 && share < 0.52, "share %v", share)
+	_, ok = f.Passes("browse", "b", rank.Normal, 0.3)
+	assert.Assert(t, !ok)
+	_, ok = f.Passes("pay", "a", rank.Sheddable, 0.999)
+	assert.Assert(t, ok)
+	advance(10_000)
+	_, ok = f.Passes("browse", "b", rank.Sheddable, 0.999)
+	assert.Assert(t, ok)
+}
--- /dev/null
+++ b/gate/limiter.go
@@ -0,0 +1,118 @@
+package gate
+
+import "math"
+
+const (
+	// leastEnded is how many requests a judgement of their times needs.
+	leastEnded = 20
+	// slowFactor is how much longer than its base a request may take in the
+	// target before the limit is doubted.
+	slowFactor = 2
+	// trialPart is the part of the limit that a trial leaves.
+	trialPart = 0.7
+	// helpedPart is the part of the earlier time that a trial must reach for
+	// the lower limit to stay.
+	helpedPart = 0.85
+	// baseDrift lets the base follow a target that got slower for good, by
+	// this part in each judgement.
+	baseDrift = 0.01
+	// growPart is what the limit gains when the slots were in full use.
+	growPart = 0.05
+	// startGrowPart is the same before the first trial of a lower limit.
+	startGrowPart = 0.25
+	// fullUse is the use of the slots that counts as full.
+	fullUse = 0.9
+	// leastLimit is the lowest limit.
+	leastLimit = 1
+)
+
+// limiter finds how many requests the target can run at once, at most its
+// announced slots. When requests take much longer than at the best of times,
+// it tries a lower limit, and keeps it only if that makes them faster: a
+// target that is slow for another reason keeps its slots.
+type limiter struct {
+	slots float64
+	limit float64
+	base  float64
+	sum   float64
+	count int
+	// before is the time per request before the trial under way, or 0.
+	before float64
+	// from is the limit before that trial.
+	from float64
+	// skip is how many more ends belong to requests from before the trial.
+	skip int
+	// tried says that there was a trial.
+	tried bool
+}
+
+func newLimiter(slots int) limiter {
+	return limiter{slots: float64(slots), limit: math.Max(math.Ceil(float64(slots)*startPart), leastLimit)}
+}
+
+func (l *limiter) current() int { return int(l.limit) }
+
+func (l *limiter) resize(slots int) {
+	l.slots = float64(slots)
+	l.limit = min(l.limit, l.slots)
+}
+
+// ended takes the time that a request spent in the target itself.
+func (l *limiter) ended(ownMillis float64) {
+	if l.skip > 0 {
+		l.skip--
+		return
+	}
+	l.sum += ownMillis
+	l.count++
+}
+
+// judge takes the use of the slots in the window that is over.
+func (l *limiter) judge(busy float64) {
+	if l.count < leastEnded {
+		return
+	}
+	mean := l.sum / float64(l.count)
+	l.sum, l.count = 0, 0
+	switch {
+	case l.before > 0:
+		l.endTrial(mean)
+	case l.base > 0 && mean > l.base*slowFactor && busy >= fullUse:
+		l.beginTrial(mean)
+	default:
+		l.grow(mean, busy)
+	}
+}
+
+func (l *limiter) beginTrial(mean float64) {
+	l.before, l.from, l.tried = mean, l.limit, true
+	l.limit = max(l.limit*trialPart, leastLimit)
+	l.skip = int(l.from)
+}
+
+func (l *limiter) endTrial(mean float64) {
+	if mean > l.before*helpedPart {
+		l.base = mean
+		l.limit = l.from
+	}
+	l.before = 0
+}
+
+func (l *limiter) grow(mean, busy float64) {
+	l.base = l.nextBase(mean)
+	if busy < fullUse {
+		return
+	}
+	part := growPart
+	if !l.tried {
+		part = startGrowPart
+	}
+	l.limit = min(l.limit+max(l.limit*part, 1), l.slots)
+}
+
+func (l *limiter) nextBase(mean float64) float64 {
+	if l.base == 0 || mean < l.base {
+		return mean
+	}
+	return l.base * (1 + baseDrift)
+}
