--- /dev/null
+++ b/remote/remote.go
@@ -0,0 +1,191 @@
+// Package remote is the adapter to the platform's table service and object
+// store over HTTP and JSON.
+//
+// Every call has a timeout, and none is sent twice by this package. A call
+// that fails says only that its outcome isn't known; package settle finds the
+// outcome of a transaction whose answer was lost.
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/object"
+	"bergamotloom.example/record"
+	"bergamotloom.example/table"
+	"bergamotloom.example/write"
+)
+
+const (
+	idleConnections = 16
+	errorBodyLimit  = 200 // bytes
+)
+
+// Client speaks to one platform. It's safe for many goroutines at once.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client of the platform at base, a URL such as
+// http://127.0.0.1:7070 or only its host and port. Each call ends after the
+// timeout at the latest.
+func New(base string, timeout time.Duration) (*Client, error) {
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	parsed, err := url.Parse(base)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
+	if parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return nil, errors.Errorf("platform: address %q isn't a URL like http://127.0.0.1:7070", base)
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	return &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		timeout: timeout,
+		http:    &http.Client{Transport: transport},
+	}, nil
+}
+
+// Table returns the platform's table service.
+func (c *Client) Table() table.Table {
+	return tables{c}
+}
+
+// Objects returns the platform's object store.
+func (c *Client) Objects() object.Store {
+	return objects{c}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// call sends one request and returns the body of its answer, and whether there
+// was something to answer with.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	target := c.base + path + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "platform")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "platform")
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "platform: reading the answer")
+	}
+	return judge(method, path, response.StatusCode, answer)
+}
+
+func judge(method, path string, status int, answer []byte) ([]byte, bool, error) {
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return answer, true, nil
+	case http.StatusNotFound:
+		return nil, false, nil
+	}
+	text := string(answer[:min(len(answer), errorBodyLimit)])
+	return nil, false, errors.Errorf("platform: %s %s: status %d: %s", method, path, status, text)
+}
+
+// read gets a JSON value, and whether there was one.
+func read[V any](ctx context.Context, c *Client, path string, query url.Values) (V, bool, error) {
+	var value V
+	answer, ok, err := c.call(ctx, http.MethodGet, path, query, nil)
+	if err != nil || !ok {
+		return value, false, err
+	}
+	if err := json.Unmarshal(answer, &value); err != nil {
+		return value, false, errors.Wrap(err, "platform: "+path)
+	}
+	return value, true, nil
+}
+
+// tables is the table service over HTTP.
+type tables struct {
+	client *Client
+}
+
+func (t tables) Get(ctx context.Context, key string) (record.Record, bool, error) {
+	return read[record.Record](ctx, t.client, "/table/row", url.Values{"Key": {key}})
+}
+
+func (t tables) Scan(ctx context.Context, prefix string) ([]record.Record, error) {
+	rows, ok, err := read[[]record.Record](ctx, t.client, "/table/rows", url.Values{"Prefix": {prefix}})
+	if err == nil && !ok {
+		return nil, errors.New("platform: no table service at this address")
+	}
+	return rows, err
+}
+
+// transaction is the body of a table transaction; its answer is an outcome.
+type transaction struct {
+	Token  string
+	Writes []write.Write
+}
+
+type outcome struct {
+	Applied bool
+}
+
+func (t tables) Transact(ctx context.Context, token string, writes []write.Write) (bool, error) {
+	body, err := json.Marshal(transaction{Token: token, Writes: writes})
+	if err != nil {
+		return false, errors.Wrap(err, "platform: transaction")
+	}
+	answer, ok, err := t.client.call(ctx, http.MethodPost, "/table/transactions", nil, body)
+	if err != nil {
+		return false, err
+	}
+	if !ok {
+		return false, errors.New("platform: no table service at this address")
+	}
+	var o outcome
+	if err := json.Unmarshal(answer, &o); err != nil {
+		return false, errors.Wrap(err, "platform: transaction")
+	}
+	return o.Applied, nil
+}
+
+// objects is the object store over HTTP.
+type objects struct {
+	client *Client
+}
+
+func (o objects) Put(ctx context.Context, name string, value []byte) error {
+	_, ok, err := o.client.call(ctx, http.MethodPut, "/objects/one", url.Values{"Name": {name}}, value)
+	if err == nil && !ok {
+		return errors.New("platform: no object store at this address")
+	}
+	return err
+}
+
+func (o objects) Get(ctx context.Context, name string) ([]byte, bool, error) {
+	return o.client.call(ctx, http.MethodGet, "/objects/one", url.Values{"Name": {name}}, nil)
+}
+
+func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
+	names, ok, err := read[[]string](ctx, o.client, "/objects", url.Values{"Prefix": {prefix}})
+	if err == nil && !ok {
+		return nil, errors.New("platform: no object store at this address")
+	}
+	return names, err
+}
