--- /dev/null
+++ b/verbs/standin.go
@@ -0,0 +1,14 @@
+package verbs
+
+// standin groups the commands that take the place of what isn't ours.
+type standin struct {
+	Target standinTarget `cmd:"" help:"Run a stand-in target: one instance of a service."`
+}
+
+func standinVerb() Verb {
+	return Verb{
+		Name:    "standin",
+		Help:    "Run a stand-in for tests and demonstrations.",
+		Command: &standin{},
+	}
+}
