--- a/verbs/standin.go
+++ b/verbs/standin.go
@@ -1,14 +1,15 @@
 package verbs
 
+// standin groups the processes that take the place of what isn't ours.
+type standin struct {
+	Platform standinPlatform `cmd:"" help:"Stand in for the platform's table service and object store."`
+	Target   standinTarget   `cmd:"" help:"Run a stand-in target: one instance of a service."`
+}
+
 func standinVerb() Verb {
 	return Verb{
 		Name:    "standin",
-		Help:    "Stand in for the platform in tests and demos.",
+		Help:    "Run a stand-in for tests and demonstrations.",
 		Command: &standin{},
 	}
 }
-
-// standin groups the processes that take the place of real ones in tests.
-type standin struct {
-	Platform standinPlatform `cmd:"" help:"Stand in for the table service and the object store."`
-}
