--- /dev/null
+++ b/keys/keys.go
@@ -0,0 +1,42 @@
+// Package keys makes callers' keys and their hashes. The configuration, the
+// table and the nodes know only hashes, so that what they hold lets nobody in.
+package keys
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"strings"
+)
+
+const (
+	hashPrefix = "sha256:"
+	keyPrefix  = "loom_"
+	keyBytes   = 32
+)
+
+// New returns a random key of 256 bits. A plain hash is enough to keep it, as
+// it can't be guessed.
+func New() string {
+	random := make([]byte, keyBytes)
+	// Read never fails: the program stops if the system has no randomness.
+	_, _ = rand.Read(random)
+	return keyPrefix + base64.RawURLEncoding.EncodeToString(random)
+}
+
+// Hash returns the hash of a key as the configuration writes it.
+func Hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hashPrefix + hex.EncodeToString(sum[:])
+}
+
+// IsHash tells whether the text has the form that Hash returns.
+func IsHash(text string) bool {
+	digits, ok := strings.CutPrefix(text, hashPrefix)
+	if !ok || len(digits) != hex.EncodedLen(sha256.Size) || digits != strings.ToLower(digits) {
+		return false
+	}
+	_, err := hex.DecodeString(digits)
+	return err == nil
+}
