--- /dev/null
+++ b/answer/answer.go
@@ -0,0 +1,52 @@
+// Package answer holds what became of one request of the load.
+package answer
+
+// Kind sorts the ends that a request can come to.
+type Kind string
+
+// The kinds of ends.
+const (
+	// Served is a whole answer to the caller's own request.
+	Served Kind = "Served"
+	// Refused is a refusal by a node, with its reason and run state.
+	Refused Kind = "Refused"
+	// Failed is an error that the target itself answered.
+	Failed Kind = "Failed"
+	// Broken is an answer that was cut, or that never came.
+	Broken Kind = "Broken"
+	// Wrong is an answer that looks whole and isn't, or is another's.
+	Wrong Kind = "Wrong"
+	// Unsent is a request that the load generator had no room for.
+	Unsent Kind = "Unsent"
+)
+
+// Answer is the end of one request, after all its sends.
+type Answer struct {
+	Team  string
+	Route string
+	Kind  Kind
+	// Reason says more about the kind: the reason of a refusal, the status of
+	// a failure, or how an answer was cut.
+	Reason string
+	// Ran is the run state told by the node, empty if none was.
+	Ran string
+	// Sends is how often the request was sent.
+	Sends int
+	// Millis is the time from the first send to the end of the answer.
+	Millis float64
+	// LateMillis is how much later than drawn the first send was.
+	LateMillis float64
+}
+
+// WithSends returns the answer with the number of sends and the whole time.
+func (a Answer) WithSends(sends int, millis float64) Answer {
+	a.Sends = sends
+	a.Millis = millis
+	return a
+}
+
+// WithLate returns the answer with the delay of its first send.
+func (a Answer) WithLate(millis float64) Answer {
+	a.LateMillis = millis
+	return a
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,143 @@
+// Package load sends an open-loop load: requests arrive when the plan says so,
+// however slowly earlier ones are answered.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotloom.example/answer"
+	"bergamotloom.example/arrive"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/plan"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/runst"
+	"bergamotloom.example/sender"
+	"bergamotloom.example/tally"
+)
+
+// resultsSize is the size of the ring between the senders and the tally.
+const resultsSize = 1024
+
+// Load sends the requests of one plan. Make it with New and run it once.
+type Load struct {
+	plan    plan.Plan
+	clock   clock.Clock
+	sender  *sender.Sender
+	open    chan struct{}
+	results chan answer.Answer
+	sends   sync.WaitGroup
+}
+
+// New returns the load of a plan that was checked.
+func New(p plan.Plan, c clock.Clock) *Load {
+	return &Load{
+		plan:    p,
+		clock:   c,
+		sender:  sender.New(p.TimeoutMillis),
+		open:    make(chan struct{}, p.MaxOpen),
+		results: make(chan answer.Answer, resultsSize),
+	}
+}
+
+// Run sends the whole plan, waits for the last answer and returns the tally.
+// When ctx ends it sends no more, and open requests end as broken.
+func (l *Load) Run(ctx context.Context) *tally.Tally {
+	done := make(chan *tally.Tally)
+	go func() { done <- l.count() }()
+	l.schedule(ctx)
+	l.sends.Wait()
+	close(l.results)
+	l.sender.Close()
+	return <-done
+}
+
+func (l *Load) count() *tally.Tally {
+	t := tally.New()
+	for a := range l.results {
+		t.Add(a)
+	}
+	return t
+}
+
+// schedule draws the arrivals and starts each at its time.
+func (l *Load) schedule(ctx context.Context) {
+	random := rand.New(rand.NewPCG(l.plan.Seed, l.plan.Seed))
+	start := time.Now()
+	next := time.Duration(0)
+	for number := int64(0); ; number++ {
+		gap, more := l.plan.Gap(random, next)
+		if !more {
+			return
+		}
+		next += gap
+		a := l.plan.Draw(random, number)
+		if !wait(ctx, time.Until(start.Add(next))) {
+			return
+		}
+		l.begin(ctx, a, start.Add(next))
+	}
+}
+
+// wait sleeps and tells whether ctx still goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// begin sends the request on a goroutine of its own, if there is room.
+func (l *Load) begin(ctx context.Context, a arrive.Arrival, due time.Time) {
+	late := float64(time.Since(due).Microseconds()) / float64(time.Millisecond/time.Microsecond)
+	select {
+	case l.open <- struct{}{}:
+	default:
+		l.results <- answer.Answer{Team: a.Team, Route: a.Route, Kind: answer.Unsent, LateMillis: late}
+		return
+	}
+	l.sends.Go(func() {
+		l.results <- l.send(ctx, a).WithLate(late)
+		<-l.open
+	})
+}
+
+// send sends the request, and again as the plan allows, at the next node.
+func (l *Load) send(ctx context.Context, a arrive.Arrival) answer.Answer {
+	start := l.clock.Fine()
+	for sends := 1; ; sends++ {
+		node := l.plan.Nodes[(a.Number+int64(sends)-1)%int64(len(l.plan.Nodes))]
+		got := l.sender.Send(ctx, node, a).WithSends(sends, l.clock.Fine()-start)
+		if sends > l.plan.Resends || !sendAgain(got) {
+			return got
+		}
+		if !wait(ctx, time.Duration(l.plan.ResendMillis)*time.Millisecond) {
+			return got
+		}
+	}
+}
+
+// sendAgain tells whether the answer calls for a resend. A non-idempotent
+// request keeps its idempotency key, so that it's always safe to ask.
+func sendAgain(a answer.Answer) bool {
+	switch a.Kind {
+	case answer.Broken, answer.Failed:
+		return true
+	case answer.Refused:
+		status := reason.Reason(a.Reason).Status()
+		passing := status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+		return passing && a.Ran != string(runst.Once)
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,97 @@
+package load_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/figure"
+	"bergamotloom.example/fill"
+	"bergamotloom.example/header"
+	"bergamotloom.example/load"
+	"bergamotloom.example/plan"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/refuse"
+)
+
+const size = 2000
+
+// run sends a short load to the handler and returns the figures.
+func run(t *testing.T, resends int, handler http.HandlerFunc) figure.Figures {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	p := plan.New("r", 1).
+		WithNodes(strings.TrimPrefix(server.URL, "http://")).
+		WithPhase(0.2, 200).
+		WithTeam("Lakes", "key", 1).
+		WithRoute("Book", http.MethodPost, "/book", 1).
+		WithResends(resends, 1)
+	assert.NilError(t, p.Check())
+	return load.New(p, clock.New()).Run(t.Context()).All()
+}
+
+// send answers as a stand-in target does, with the body of another marker and
+// a part of it if so wished.
+func send(w http.ResponseWriter, r *http.Request, marker string, part int64) {
+	w.Header().Set(header.Marker, r.Header.Get(header.Marker))
+	w.Header().Set(header.Size, strconv.Itoa(size))
+	w.Header().Set(header.Upload, "0-ef46db3751d8e999")
+	_, _ = io.Copy(w, io.LimitReader(fill.New(marker, size), part))
+}
+
+func TestWholeOwnAnswersAreServed(t *testing.T) {
+	c := run(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(header.Authorization) == "Bearer key" && r.Header.Get(header.IdempotencyKey) != "" {
+			send(w, r, r.Header.Get(header.Marker), size)
+		}
+	})
+	assert.Assert(t, c.Requests > 10)
+	assert.Equal(t, c.Served, c.Requests)
+}
+
+func TestShortAndForeignAnswersAreWrong(t *testing.T) {
+	short := run(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		send(w, r, r.Header.Get(header.Marker), size-1)
+	})
+	assert.Equal(t, short.Wrong, short.Requests)
+	assert.Equal(t, short.Sends, short.Requests)
+	foreign := run(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		send(w, r, "other", size)
+	})
+	assert.Equal(t, foreign.Reasons["Wrong OtherBody"], foreign.Requests)
+}
+
+func TestCutAnswersAreBroken(t *testing.T) {
+	c := run(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		send(w, r, r.Header.Get(header.Marker), size/2)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	assert.Equal(t, c.Reasons["Broken BodyCut"], c.Requests)
+}
+
+func TestRefusalsAreSentAgainUntilServed(t *testing.T) {
+	var seen atomic.Int64
+	c := run(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if seen.Add(1)%2 == 1 {
+			_ = refuse.New(reason.Overloaded).Write(w)
+			return
+		}
+		send(w, r, r.Header.Get(header.Marker), size)
+	})
+	assert.Equal(t, c.Sends, seen.Load())
+	assert.Assert(t, c.Sends > c.Requests)
+	withdrawn := run(t, 9, func(w http.ResponseWriter, _ *http.Request) {
+		_ = refuse.New(reason.KeyUnknown).Write(w)
+	})
+	assert.Equal(t, withdrawn.Sends, withdrawn.Requests)
+	assert.Equal(t, withdrawn.Reasons["Refused KeyUnknown Never"], withdrawn.Requests)
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,230 @@
+// Package plan says what load to send: to which nodes, how much, for which
+// teams and routes.
+package plan
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/arrive"
+)
+
+const (
+	defaultTimeoutMillis = 5000
+	defaultMaxOpen       = 4000
+)
+
+// Plan is a load to send. It's a value: the With methods return changed
+// copies. The names of its fields are those of the YAML file.
+type Plan struct {
+	// Nodes lists the addresses of nodes' caller ports.
+	Nodes []string `yaml:"Nodes"`
+	// Phases are the rates to send at, one after another.
+	Phases []phase `yaml:"Phases"`
+	Teams  []team  `yaml:"Teams"`
+	Routes []route `yaml:"Routes"`
+	// Seed decides all draws. Run is the first part of all markers and
+	// idempotency keys, unlike that of any other load on the same fleet.
+	Seed uint64 `yaml:"Seed"`
+	Run  string `yaml:"Run"`
+	// TimeoutMillis is the time that each send is given.
+	TimeoutMillis int64 `yaml:"TimeoutMillis"`
+	// Resends is how often a request is sent again when that is safe, each
+	// time after ResendMillis.
+	Resends      int   `yaml:"Resends"`
+	ResendMillis int64 `yaml:"ResendMillis"`
+	// MaxOpen is how many requests may be open at once.
+	MaxOpen int `yaml:"MaxOpen"`
+}
+
+// phase is a time at one mean rate, in requests a second.
+type phase struct {
+	Seconds float64 `yaml:"Seconds"`
+	Rate    float64 `yaml:"Rate"`
+}
+
+// team sends a part of the load by its weight.
+type team struct {
+	Name   string  `yaml:"Name"`
+	Key    string  `yaml:"Key"`
+	Weight float64 `yaml:"Weight"`
+}
+
+// route gets a part of the load by its weight.
+type route struct {
+	Name        string  `yaml:"Name"`
+	Method      string  `yaml:"Method"`
+	Path        string  `yaml:"Path"`
+	Weight      float64 `yaml:"Weight"`
+	AnswerBytes int64   `yaml:"AnswerBytes"`
+	UploadBytes int64   `yaml:"UploadBytes"`
+	Idempotent  bool    `yaml:"Idempotent"`
+}
+
+// New returns a plan without nodes, phases, teams or routes.
+func New(run string, seed uint64) Plan {
+	return Plan{
+		Run:           run,
+		Seed:          seed,
+		TimeoutMillis: defaultTimeoutMillis,
+		MaxOpen:       defaultMaxOpen,
+	}
+}
+
+// Parse returns the plan with what a YAML file says instead. The error names
+// line and column.
+func (p Plan) Parse(file []byte) (Plan, error) {
+	if err := yaml.UnmarshalWithOptions(file, &p, yaml.Strict()); err != nil {
+		return p, errors.Wrap(err, "plan")
+	}
+	return p, nil
+}
+
+// WithNodes returns the plan with these nodes.
+func (p Plan) WithNodes(addresses ...string) Plan {
+	p.Nodes = addresses
+	return p
+}
+
+// WithPhase returns the plan with one more phase.
+func (p Plan) WithPhase(seconds, rate float64) Plan {
+	p.Phases = appended(p.Phases, phase{seconds, rate})
+	return p
+}
+
+// WithTeam returns the plan with one more team.
+func (p Plan) WithTeam(name, key string, weight float64) Plan {
+	p.Teams = appended(p.Teams, team{name, key, weight})
+	return p
+}
+
+// WithRoute returns the plan with one more route. Requests other than GET and
+// HEAD get an idempotency key.
+func (p Plan) WithRoute(name, method, path string, weight float64) Plan {
+	idempotent := method == http.MethodGet || method == http.MethodHead
+	r := route{Name: name, Method: method, Path: path, Weight: weight, Idempotent: idempotent}
+	p.Routes = appended(p.Routes, r)
+	return p
+}
+
+// WithResends returns the plan with another number of resends and the wait
+// before each.
+func (p Plan) WithResends(count int, waitMillis int64) Plan {
+	p.Resends, p.ResendMillis = count, waitMillis
+	return p
+}
+
+// WithTimeout returns the plan with another time for each send.
+func (p Plan) WithTimeout(millis int64) Plan {
+	p.TimeoutMillis = millis
+	return p
+}
+
+// appended returns a new slice, so that plans never share one.
+func appended[T any](all []T, one T) []T {
+	return append(append(make([]T, 0, len(all)+1), all...), one)
+}
+
+// Check says what is wrong with the plan, if anything is.
+func (p Plan) Check() error {
+	switch {
+	case len(p.Nodes) == 0:
+		return errors.New("plan: Nodes is empty: name at least one address")
+	case len(p.Phases) == 0:
+		return errors.New("plan: Phases is empty: name at least one")
+	case len(p.Teams) == 0:
+		return errors.New("plan: Teams is empty: name at least one")
+	case len(p.Routes) == 0:
+		return errors.New("plan: Routes is empty: name at least one")
+	case p.Run == "":
+		return errors.New("plan: Run is empty")
+	case p.TimeoutMillis < 1:
+		return errors.Errorf("plan: TimeoutMillis is %d: must be 1 or more", p.TimeoutMillis)
+	case p.Resends < 0:
+		return errors.Errorf("plan: Resends is %d: must be 0 or more", p.Resends)
+	case p.MaxOpen < 1:
+		return errors.Errorf("plan: MaxOpen is %d: must be 1 or more", p.MaxOpen)
+	}
+	return p.checkParts()
+}
+
+func (p Plan) checkParts() error {
+	for _, f := range p.Phases {
+		if f.Seconds <= 0 || f.Rate <= 0 {
+			return errors.Errorf("plan: phase of %v seconds at rate %v: both must be above 0", f.Seconds, f.Rate)
+		}
+	}
+	for _, t := range p.Teams {
+		if t.Weight <= 0 {
+			return errors.Errorf("plan: team %q has weight %v: must be above 0", t.Name, t.Weight)
+		}
+	}
+	for _, r := range p.Routes {
+		if r.Weight <= 0 || r.Path == "" || r.Path[0] != '/' {
+			return errors.Errorf("plan: route %q needs a weight above 0 and a path from /", r.Name)
+		}
+	}
+	return nil
+}
+
+// Gap draws the time to the next arrival of a Poisson process, at the rate
+// that holds after the given time since the start. It's false at the end.
+func (p Plan) Gap(random *rand.Rand, since time.Duration) (time.Duration, bool) {
+	end := time.Duration(0)
+	for _, f := range p.Phases {
+		end += seconds(f.Seconds)
+		if since < end {
+			return seconds(random.ExpFloat64() / f.Rate), true
+		}
+	}
+	return 0, false
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+// Draw makes the arrival with this number.
+func (p Plan) Draw(random *rand.Rand, number int64) arrive.Arrival {
+	t := pick(random, p.Teams, func(t team) float64 { return t.Weight })
+	r := pick(random, p.Routes, func(r route) float64 { return r.Weight })
+	a := arrive.Arrival{
+		Number:      number,
+		Marker:      p.Run + "-" + strconv.FormatInt(number, 10),
+		Team:        t.Name,
+		Key:         t.Key,
+		Route:       r.Name,
+		Method:      r.Method,
+		Path:        r.Path,
+		AnswerBytes: r.AnswerBytes,
+		UploadBytes: r.UploadBytes,
+	}
+	if a.Method == "" {
+		a.Method = http.MethodGet
+	}
+	if !r.Idempotent {
+		a.IdempotencyKey = a.Marker
+	}
+	return a
+}
+
+// pick draws one of the parts by their weights.
+func pick[T any](random *rand.Rand, parts []T, weight func(T) float64) T {
+	total := 0.0
+	for _, p := range parts {
+		total += weight(p)
+	}
+	draw := random.Float64() * total
+	for _, p := range parts {
+		draw -= weight(p)
+		if draw < 0 {
+			return p
+		}
+	}
+	return parts[len(parts)-1]
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,58 @@
+package plan_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/plan"
+)
+
+const file = `Nodes: ["127.0.0.1:1"]
+Phases:
+  - {Seconds: 2, Rate: 100}
+  - {Seconds: 1, Rate: 1000}
+Teams:
+  - {Name: Lakes, Key: k, Weight: 3}
+  - {Name: Docks, Weight: 1}
+Routes:
+  - {Name: Book, Method: POST, Path: /book, Weight: 1}
+  - {Name: Stock, Path: /stock, Weight: 1, Idempotent: true}
+`
+
+func TestArrivalsFollowThePlanAndItsSeed(t *testing.T) {
+	p, err := plan.New("run", 1).Parse([]byte(file))
+	assert.NilError(t, err)
+	assert.NilError(t, p.Check())
+	random, again := rand.New(rand.NewPCG(1, 1)), rand.New(rand.NewPCG(1, 1))
+	lakes, keyed, count, since := 0, 0, 0, time.Duration(0)
+	for {
+		gap, more := p.Gap(random, since)
+		same, _ := p.Gap(again, since)
+		assert.Equal(t, gap, same)
+		if !more {
+			break
+		}
+		since += gap
+		a := p.Draw(random, int64(count))
+		assert.Equal(t, a, p.Draw(again, int64(count)))
+		if a.Team == "Lakes" {
+			lakes++
+		}
+		if a.IdempotencyKey != "" {
+			assert.Equal(t, a.Method, "POST")
+			keyed++
+		}
+		count++
+	}
+	assert.Assert(t, count > 1080 && count < 1320, "%d arrivals", count)
+	assert.Assert(t, lakes > count*70/100 && lakes < count*80/100, "%d of Lakes", lakes)
+	assert.Assert(t, keyed > count*45/100 && keyed < count*55/100, "%d with keys", keyed)
+}
+
+func TestUnknownFieldIsNamedWithItsPlace(t *testing.T) {
+	_, err := plan.New("run", 1).Parse([]byte("Nodes: []\nSpeed: 3\n"))
+	assert.ErrorContains(t, err, `[2:1] unknown field "Speed"`)
+}
