Add quota: rate and burst over all nodes by tokens from a team's home

Cause: no team may get more than its rate and burst over all instances together, and few requests inside the rate may be refused.

--- /dev/null
+++ b/bucket/bucket.go
@@ -0,0 +1,185 @@
+// Package bucket keeps the tokens of one team at the team's home node.
+//
+// The home gives tokens out in grants. At every moment the tokens still in the
+// bucket and those granted but perhaps not yet used are together at most
+// Burst, and they grow by at most Rate a second. So every window sees at most
+// Burst + Rate x length uses, wherever the tokens are used.
+package bucket
+
+import (
+	"maps"
+	"slices"
+
+	"bergamotloom.example/team"
+)
+
+const millisPerSecond = 1000
+
+// account is what the home knows of one holder of grants.
+type account struct {
+	incarnation int64
+	// seq is the number of the last ask that was answered.
+	seq int64
+	// used is the holder's own count of uses, as of that ask.
+	used int64
+	// outstanding tokens may still be used until expires.
+	outstanding int64
+	expires     int64
+}
+
+// Bucket is a token bucket with the accounts of those who hold grants from it.
+// It isn't safe for concurrent use. All times are milliseconds of one clock.
+type Bucket struct {
+	rate        float64
+	burst       float64
+	level       float64
+	filledAt    int64
+	keepMillis  int64
+	outstanding int64
+	accounts    map[string]*account
+}
+
+// New returns a bucket with level tokens that starts to fill at startMillis,
+// which may lie ahead. A grant stays outstanding for keepMillis unless its
+// holder reports on it before.
+func New(t team.Team, level float64, startMillis, keepMillis int64) *Bucket {
+	return &Bucket{
+		rate:       t.Rate,
+		burst:      t.Burst,
+		level:      min(level, t.Burst),
+		filledAt:   startMillis,
+		keepMillis: keepMillis,
+		accounts:   make(map[string]*account),
+	}
+}
+
+// SetTeam puts another rate and burst in force. Grants that are out stay out;
+// the bucket doesn't fill until they fit under the new burst.
+func (b *Bucket) SetTeam(t team.Team, now int64) {
+	b.fill(now)
+	b.rate, b.burst = t.Rate, t.Burst
+	b.level = min(b.level, b.room())
+}
+
+// Report takes in what a holder says with its ask: how many tokens it has used
+// in all and how many it has left. It returns false for an ask that is a
+// repeat or came late, which must not be answered. The holder must have given
+// up every grant that it hadn't received when it sent the ask, so tokens that
+// were neither used nor left go back into the bucket.
+func (b *Bucket) Report(holder string, incarnation, seq, used, left, now int64) bool {
+	b.fill(now)
+	a := b.accounts[holder]
+	switch {
+	case a == nil || incarnation > a.incarnation:
+		b.Close(holder, incarnation)
+		a = &account{incarnation: incarnation, used: used}
+		b.accounts[holder] = a
+	case incarnation < a.incarnation || seq <= a.seq:
+		return false
+	}
+	left = min(left, a.outstanding)
+	spent := max(used-a.used, 0)
+	unused := max(a.outstanding-left-spent, 0)
+	b.outstanding -= a.outstanding - left
+	a.seq, a.used, a.outstanding = seq, used, left
+	a.expires = now + b.keepMillis
+	b.level = min(b.level+float64(unused), b.room())
+	return true
+}
+
+// Grant moves up to want tokens from the bucket to a holder that has just
+// reported, and returns how many.
+func (b *Bucket) Grant(holder string, want, now int64) int64 {
+	b.fill(now)
+	a := b.accounts[holder]
+	if a == nil {
+		return 0
+	}
+	granted := max(min(want, int64(b.level)), 0)
+	b.level -= float64(granted)
+	b.outstanding += granted
+	a.outstanding += granted
+	a.expires = now + b.keepMillis
+	return granted
+}
+
+// Level returns how many tokens are in the bucket.
+func (b *Bucket) Level(now int64) float64 {
+	b.fill(now)
+	return b.level
+}
+
+// Outstanding returns how many tokens are granted and perhaps not yet used.
+func (b *Bucket) Outstanding() int64 {
+	return b.outstanding
+}
+
+// Holders calls visit for each holder with outstanding tokens, in the order of
+// their names.
+func (b *Bucket) Holders(visit func(holder string)) {
+	for _, h := range slices.Sorted(maps.Keys(b.accounts)) {
+		if b.accounts[h].outstanding > 0 {
+			visit(h)
+		}
+	}
+}
+
+// Len returns the number of holders with an account.
+func (b *Bucket) Len() int {
+	return len(b.accounts)
+}
+
+// MillisUntil returns the time until the bucket has one token.
+func (b *Bucket) MillisUntil(now int64) int64 {
+	b.fill(now)
+	if b.level >= 1 || b.rate <= 0 {
+		return 0
+	}
+	wait := int64((1-b.level)*millisPerSecond/b.rate) + 1
+	return wait + max(b.filledAt-now, 0)
+}
+
+// Close ends the account of a holder whose incarnation is gone: its tokens
+// can't be used any more. Whether they were used isn't known, so they don't go
+// back into the bucket.
+func (b *Bucket) Close(holder string, before int64) {
+	a := b.accounts[holder]
+	if a == nil || a.incarnation >= before {
+		return
+	}
+	b.outstanding -= a.outstanding
+	delete(b.accounts, holder)
+}
+
+// Sweep forgets grants that have expired. It's called now and then.
+func (b *Bucket) Sweep(now int64) {
+	b.fill(now)
+	for h, a := range b.accounts {
+		if now <= a.expires {
+			continue
+		}
+		b.outstanding -= a.outstanding
+		a.outstanding = 0
+		if now > a.expires+accountMillis {
+			delete(b.accounts, h)
+		}
+	}
+}
+
+// accountMillis is how long an idle holder's ask number is remembered. It's
+// longer than a message can be under way.
+const accountMillis = 600_000
+
+// room is the most that the bucket may hold beside the outstanding grants.
+func (b *Bucket) room() float64 {
+	return max(b.burst-float64(b.outstanding), 0)
+}
+
+func (b *Bucket) fill(now int64) {
+	if now <= b.filledAt {
+		return
+	}
+	gained := b.rate * float64(now-b.filledAt) / millisPerSecond
+	b.level = min(b.level+gained, b.room())
+	b.filledAt = now
+}
--- /dev/null
+++ b/purse/purse.go
@@ -0,0 +1,228 @@
+// Package purse keeps the tokens that one node holds of one team, and decides
+// when to ask the team's home for more.
+package purse
+
+const (
+	millisPerSecond = 1000
+	// tokenMillis is how long granted tokens may be used, counted on the
+	// holder's clock from the moment when it sent the ask.
+	tokenMillis = 1200
+	// refreshMillis is the age at which tokens of a team in use are renewed.
+	refreshMillis = 800
+	// aheadMillis is the time for which a holder fetches tokens ahead.
+	aheadMillis = 800
+	// idleMillis after its last use a team is no longer fetched ahead.
+	idleMillis = 3000
+	// rateMillis is the time over which the rate of use is averaged.
+	rateMillis = 1000
+	// rationMillis is the wait before tokens are fetched ahead again after the
+	// home gave fewer than asked, or recalled them.
+	rationMillis = 100
+	// leastPatienceMillis and mostPatienceMillis bound the wait for an answer
+	// before the ask is given up for a new one.
+	leastPatienceMillis = 8
+	mostPatienceMillis  = 400
+	// roundTrips is the patience in multiples of the last round trip.
+	roundTrips = 4
+)
+
+// Purse holds tokens under one term of a home. It isn't safe for concurrent
+// use. All times are milliseconds of one clock.
+type Purse struct {
+	balance int64
+	expires int64
+	used    int64
+
+	seq      int64
+	askedAt  int64
+	open     bool
+	patience int64
+	failures int
+
+	perSecond float64
+	counted   int64
+	countedAt int64
+	usedAt    int64
+	shortTill int64
+	aheadFrom int64
+	ahead     int64
+}
+
+// New returns an empty purse. Asks are numbered from seq upwards.
+func New(seq, now int64) *Purse {
+	return &Purse{seq: seq, patience: leastPatienceMillis, countedAt: now, usedAt: now - idleMillis}
+}
+
+// TokenMillis returns how long a token lives on its holder's clock.
+func (p *Purse) TokenMillis() int64 {
+	return tokenMillis
+}
+
+// Count notes that a request came, for the average rate of requests.
+func (p *Purse) Count(now int64) {
+	p.usedAt = now
+	p.counted++
+}
+
+// Take uses one token if there is one.
+func (p *Purse) Take(now int64) bool {
+	if p.balance <= 0 || now >= p.expires {
+		return false
+	}
+	p.balance--
+	p.used++
+	return true
+}
+
+// Short tells whether the home has said that there is nothing to be had yet,
+// and for how many milliseconds.
+func (p *Purse) Short(now int64) (int64, bool) {
+	return p.shortTill - now, now < p.shortTill
+}
+
+// Wants tells whether it's time to ask, for waiting requests or ahead of use.
+func (p *Purse) Wants(waiting int, now int64) bool {
+	if p.open {
+		if now-p.askedAt < p.patience {
+			return false
+		}
+		p.fail()
+	}
+	if _, short := p.Short(now); short {
+		return false
+	}
+	if waiting > 0 {
+		return true
+	}
+	if p.failures > 0 && now-p.askedAt < p.patience {
+		return false
+	}
+	target := p.target(now)
+	if target == 0 || now < p.aheadFrom {
+		return false
+	}
+	left := p.left(now)
+	old := p.expires-now < tokenMillis-refreshMillis
+	return left < (target+2)/3 || old
+}
+
+// Idle tells whether the purse holds tokens that it no longer needs.
+func (p *Purse) Idle(now int64) bool {
+	return p.left(now) > 0 && p.target(now) == 0 && !p.open
+}
+
+// Ask opens a new ask and returns its number, the uses so far, the tokens left
+// and how many more are wanted ahead of use. Grants of earlier asks are void
+// from now on.
+func (p *Purse) Ask(now int64) (seq, used, left, ahead int64) {
+	p.settle(now)
+	p.seq++
+	p.askedAt = now
+	p.open = true
+	p.ahead = 0
+	if now >= p.aheadFrom {
+		p.ahead = max(p.target(now)-p.balance, 0)
+	}
+	return p.seq, p.used, p.balance, p.ahead
+}
+
+// Granted takes in the answer to the ask with this number, and tells whether
+// it was the one awaited. With shortMillis above 0 the home has no more for so
+// long.
+func (p *Purse) Granted(seq, tokens, shortMillis, now int64) bool {
+	if !p.answered(seq, shortMillis, now) {
+		return false
+	}
+	p.settle(now)
+	p.expires = p.askedAt + tokenMillis
+	p.balance += tokens
+	p.settle(now)
+	if tokens < p.ahead {
+		p.aheadFrom = now + rationMillis
+	}
+	return true
+}
+
+// Awaits tells whether the answer to the ask with this number is awaited.
+func (p *Purse) Awaits(seq int64) bool {
+	return p.open && seq == p.seq
+}
+
+// Refused takes in the answer of a home that may not grant yet. The tokens at
+// hand keep their own expiry.
+func (p *Purse) Refused(seq, shortMillis, now int64) bool {
+	return p.answered(seq, shortMillis, now)
+}
+
+func (p *Purse) answered(seq, shortMillis, now int64) bool {
+	if !p.Awaits(seq) {
+		return false
+	}
+	p.open = false
+	p.failures = 0
+	p.patience = max(roundTrips*(now-p.askedAt), leastPatienceMillis)
+	p.shortTill = now + shortMillis
+	return true
+}
+
+// GiveBack empties the purse for a home that recalls its tokens; the next ask
+// then reports nothing left.
+func (p *Purse) GiveBack(now int64) {
+	p.balance = 0
+	p.aheadFrom = now + rationMillis
+}
+
+// Drop empties the purse of another reign's tokens.
+func (p *Purse) Drop() {
+	p.balance = 0
+}
+
+// Retry gives up the open ask, because another node is home now.
+func (p *Purse) Retry() {
+	p.open = false
+	p.failures = 0
+	p.patience = leastPatienceMillis
+}
+
+// Failures returns how many asks in a row got no answer.
+func (p *Purse) Failures() int {
+	return p.failures
+}
+
+func (p *Purse) fail() {
+	p.open = false
+	p.failures++
+	p.patience = min(2*p.patience, mostPatienceMillis)
+}
+
+// left is what may still be used.
+func (p *Purse) left(now int64) int64 {
+	if now >= p.expires {
+		return 0
+	}
+	return p.balance
+}
+
+// settle drops tokens that have expired.
+func (p *Purse) settle(now int64) {
+	p.balance = p.left(now)
+}
+
+// Tick keeps the average rate of requests up to date.
+func (p *Purse) Tick(now int64) {
+	passed := now - p.countedAt
+	if passed < rateMillis/10 {
+		return
+	}
+	weight := min(float64(passed)/rateMillis, 1)
+	recent := float64(p.counted) * millisPerSecond / float64(passed)
+	p.perSecond += weight * (recent - p.perSecond)
+	p.counted, p.countedAt = 0, now
+}
+
+func (p *Purse) target(now int64) int64 {
+	if now-p.usedAt >= idleMillis {
+		return 0
+	}
+	return max(int64(p.perSecond*aheadMillis/millisPerSecond), 1)
+}
--- /dev/null
+++ b/quota/holder.go
@@ -0,0 +1,115 @@
+package quota
+
+// fetch asks the home for tokens if it's time to.
+func (q *Quota) fetch(s *share, now int64) {
+	home := s.lease.Home()
+	if home != s.askedHome {
+		s.purse.Retry()
+		s.askedHome = home
+	}
+	if home != "" && s.purse.Idle(now) {
+		s.purse.GiveBack(now)
+		q.ask(s, home, now)
+		return
+	}
+	if !s.purse.Wants(len(s.waiters), now) {
+		return
+	}
+	if home == "" || s.purse.Failures() >= lostAsks {
+		q.search(s, now)
+	}
+	if home != "" {
+		q.ask(s, home, now)
+	}
+}
+
+func (q *Quota) ask(s *share, home string, now int64) {
+	seq, used, left, ahead := s.purse.Ask(now)
+	q.post(home, message{
+		Kind: kindAsk, Team: s.team.Name, Incarnation: q.incarnation, Stamp: s.stamp,
+		Seq: seq, Version: s.lease.Version(), Used: used, Left: left,
+		Need: int64(len(s.waiters)), Ahead: ahead,
+	})
+}
+
+// search asks the other members of the order, the nodes that would be chosen
+// and one at random for a newer row, and the table too.
+func (q *Quota) search(s *share, now int64) {
+	if now-s.searchedAt < searchMillis {
+		return
+	}
+	s.searchedAt = now
+	asked := s.lease.Members()
+	if len(asked) == 0 {
+		asked = s.lease.Candidates(searchWidth)
+	}
+	if len(q.ids) > 0 {
+		asked = append(asked, q.ids[q.random.IntN(len(q.ids))])
+	}
+	for _, id := range asked {
+		if id != q.self {
+			s.lease.Ask(id)
+		}
+	}
+	s.lease.Fetch()
+}
+
+// searchWidth is how many nodes are asked when no row is known.
+const searchWidth = 3
+
+// handleGrant takes the home's answer and serves the requests that wait.
+func (q *Quota) handleGrant(s *share, m message, now int64) {
+	if m.Stamp == 0 {
+		if s.purse.Refused(m.Seq, m.ShortMillis, now) && m.ShortMillis > 0 {
+			q.refuseAll(s, m.ShortMillis)
+		}
+		return
+	}
+	if !s.purse.Awaits(m.Seq) {
+		return
+	}
+	if m.Stamp != s.stamp {
+		// The tokens at hand are of another reign, which the home doesn't
+		// count: they go.
+		s.purse.Drop()
+		s.stamp = m.Stamp
+	}
+	s.purse.Granted(m.Seq, m.Tokens, m.ShortMillis, now)
+	q.serve(s, now)
+	if m.ShortMillis > 0 {
+		q.refuseAll(s, m.ShortMillis)
+	}
+}
+
+// handleRecall gives all tokens of that reign back.
+func (q *Quota) handleRecall(s *share, from string, m message, now int64) {
+	if m.Stamp != s.stamp || from != s.lease.Home() {
+		return
+	}
+	s.purse.GiveBack(now)
+	q.ask(s, from, now)
+}
+
+// serve hands tokens to the requests that wait, the oldest first.
+func (q *Quota) serve(s *share, now int64) {
+	for len(s.waiters) > 0 && s.purse.Take(now) {
+		q.calls = append(q.calls, call{s.waiters[0].done, true, 0})
+		s.waiters = s.waiters[1:]
+	}
+}
+
+// refuseAll refuses the requests that wait.
+func (q *Quota) refuseAll(s *share, retryMillis int64) {
+	for _, w := range s.waiters {
+		q.calls = append(q.calls, call{w.done, false, retryMillis})
+	}
+	s.waiters = nil
+}
+
+// expire refuses the requests that waited too long.
+func (q *Quota) expire(s *share, now int64) {
+	for len(s.waiters) > 0 && now >= s.waiters[0].till {
+		q.calls = append(q.calls, call{s.waiters[0].done, false, refusedMillis})
+		s.waiters = s.waiters[1:]
+	}
+}
--- /dev/null
+++ b/quota/home.go
@@ -0,0 +1,182 @@
+package quota
+
+import (
+	"slices"
+
+	"bergamotloom.example/bucket"
+)
+
+const (
+	// keepMillis is how long a home counts a grant as outstanding: longer than
+	// a token lives on its holder's clock, even if that clock runs slow.
+	keepMillis = 1300
+	// parkMillis is how long a home keeps an ask back while tokens are on
+	// their way to it.
+	parkMillis = 10
+	// recallMillis is the least time between two recalls to one holder.
+	recallMillis = 20
+	// aheadPart is the part of the bucket that one ask may take ahead of use.
+	aheadPart = 8
+	// shortPerHolder spreads the asks of a team that has used up its rate, so
+	// that the home gets at most so many milliseconds apart.
+	shortPerHolder = 2
+	// leastShortMillis and mostShortMillis bound the patience that the home
+	// asks for.
+	leastShortMillis = 5
+	mostShortMillis  = 1000
+	// quietShortMillis is the patience that a new home asks for while grants
+	// of the last one may be in use.
+	quietShortMillis = 50
+)
+
+// books is the state of the team's home during one reign.
+type books struct {
+	reign    int64
+	stamp    int64
+	starts   int64
+	bucket   *bucket.Bucket
+	parked   []parked
+	recalled map[string]int64
+	sweptAt  int64
+}
+
+// parked is an ask that waits for tokens on their way to the home.
+type parked struct {
+	to      string
+	seq     int64
+	need    int64
+	granted int64
+	till    int64
+}
+
+// open returns the books of the present reign, or nil if this node isn't the
+// home.
+func (q *Quota) open(s *share) *books {
+	reign, quietMillis, first := s.lease.Reign()
+	if !s.lease.Acting() {
+		return nil
+	}
+	if s.books != nil && s.books.reign == reign {
+		return s.books
+	}
+	b := &books{
+		reign:    reign,
+		stamp:    q.incarnation<<16 | reign&0xffff,
+		starts:   quietMillis + keepMillis,
+		recalled: make(map[string]int64),
+	}
+	level := 0.0
+	if first {
+		// There never was another home, so nothing has been granted.
+		level, b.starts = s.team.Burst, quietMillis
+	}
+	b.bucket = bucket.New(s.team, level, b.starts, keepMillis)
+	s.books = b
+	return b
+}
+
+// handleAsk answers a holder.
+func (q *Quota) handleAsk(s *share, from string, m message, now int64) {
+	if m.Version < s.lease.Version() {
+		s.lease.Tell(from)
+	}
+	b := q.open(s)
+	if b == nil || now < b.starts {
+		if s.lease.Home() == q.self {
+			q.post(from, message{
+				Kind: kindGrant, Team: s.team.Name, Seq: m.Seq, ShortMillis: quietShortMillis,
+			})
+		}
+		return
+	}
+	if m.Stamp != b.stamp {
+		m.Left = 0
+	}
+	if !b.bucket.Report(from, m.Incarnation, m.Seq, m.Used, m.Left, now) {
+		return
+	}
+	b.parked = slices.DeleteFunc(b.parked, func(p parked) bool { return p.to == from })
+	q.settle(s, b, now)
+	p := parked{to: from, seq: m.Seq, need: m.Need, till: now + parkMillis}
+	p.take(b.bucket, now)
+	if p.need > 0 && q.recall(s, b, from, now) {
+		b.parked = append(b.parked, p)
+		return
+	}
+	if p.need == 0 {
+		ahead := min(m.Ahead, int64(b.bucket.Level(now)/aheadPart))
+		p.granted += b.bucket.Grant(from, ahead, now)
+	}
+	q.answer(s, b, p, now)
+}
+
+// take moves what is needed and there from the bucket to the ask.
+func (p *parked) take(b *bucket.Bucket, now int64) {
+	n := b.Grant(p.to, p.need, now)
+	p.need -= n
+	p.granted += n
+}
+
+// settle grants to the parked asks in their order and answers those that have
+// all they need or waited long enough.
+func (q *Quota) settle(s *share, b *books, now int64) {
+	var still []parked
+	for _, p := range b.parked {
+		p.take(b.bucket, now)
+		if p.need > 0 && now < p.till {
+			still = append(still, p)
+			continue
+		}
+		q.answer(s, b, p, now)
+	}
+	b.parked = still
+}
+
+func (q *Quota) answer(s *share, b *books, p parked, now int64) {
+	m := message{
+		Kind: kindGrant, Team: s.team.Name, Stamp: b.stamp, Seq: p.seq, Tokens: p.granted,
+	}
+	if p.need > 0 {
+		m.ShortMillis = q.short(b, now)
+	}
+	q.post(p.to, m)
+}
+
+// short is how long a holder should wait before it asks again.
+func (q *Quota) short(b *books, now int64) int64 {
+	wait := max(b.bucket.MillisUntil(now), int64(b.bucket.Len())*shortPerHolder, leastShortMillis)
+	return min(wait, mostShortMillis)
+}
+
+// recall asks the other holders for the tokens that they haven't used, and
+// tells whether any are out.
+func (q *Quota) recall(s *share, b *books, asker string, now int64) bool {
+	out := false
+	b.bucket.Holders(func(holder string) {
+		if holder == asker {
+			return
+		}
+		out = true
+		if now-b.recalled[holder] >= recallMillis {
+			b.recalled[holder] = now
+			q.post(holder, message{Kind: kindRecall, Team: s.team.Name, Stamp: b.stamp})
+		}
+	})
+	return out
+}
+
+// keepBooks does what is due at the home.
+func (q *Quota) keepBooks(s *share, now int64) {
+	if s.books == nil {
+		return
+	}
+	b := q.open(s)
+	if b == nil {
+		return
+	}
+	q.settle(s, b, now)
+	if now-b.sweptAt >= keepMillis/4 {
+		b.sweptAt = now
+		b.bucket.Sweep(now)
+	}
+}
