Add what a node needs to bring changes into force in order

Cause: nodes hear of changes in any order, twice, and with gaps, and must never take a lower version.

The loader reads only changed files again. Ruled out: versions per file without an order between changes, which could bring two halves of a configuration together that were never checked as one.

--- /dev/null
+++ b/change/change.go
@@ -0,0 +1,64 @@
+// Package change holds one accepted change of the configuration's files, and
+// its compact encoding (CBOR) for nodes and for the table.
+package change
+
+import (
+	"maps"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const keyPrefix = "config/"
+
+// Change is what turned the version before it into Version. It's a value;
+// nobody changes the contents that it holds.
+type Change struct {
+	// Version counts accepted changes from 1.
+	Version int64 `cbor:"1,keyasint"`
+	// Whole says that Contents holds all files of the version, so that the
+	// change can follow any older version and not only the one before it.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Contents holds new and changed files by name.
+	Contents map[string][]byte `cbor:"3,keyasint,omitempty"`
+	// Removed names the files that are gone.
+	Removed []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Key returns the name under which nodes spread the change: "config/" and its
+// version.
+func (c Change) Key() string {
+	return keyPrefix + strconv.FormatInt(c.Version, 10)
+}
+
+// Apply returns the files after the change, given those before it.
+func (c Change) Apply(files map[string][]byte) map[string][]byte {
+	next := make(map[string][]byte, len(files)+len(c.Contents))
+	if !c.Whole {
+		maps.Copy(next, files)
+	}
+	maps.Copy(next, c.Contents)
+	for _, name := range c.Removed {
+		delete(next, name)
+	}
+	return next
+}
+
+// Encode returns the change in CBOR.
+func (c Change) Encode() ([]byte, error) {
+	encoded, err := cbor.Marshal(c)
+	return encoded, errors.Wrap(err, "encoding a change")
+}
+
+// Decode returns the change that Encode encoded.
+func Decode(encoded []byte) (Change, error) {
+	var c Change
+	if err := cbor.Unmarshal(encoded, &c); err != nil {
+		return Change{}, errors.Wrap(err, "decoding a change")
+	}
+	if c.Version < 1 {
+		return Change{}, errors.Errorf("decoding a change: version %d", c.Version)
+	}
+	return c, nil
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -6,6 +6,7 @@
 package loader
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
@@ -20,14 +21,32 @@
 // FileLimit is the largest size of one file, in bytes.
 const FileLimit = 256 * 1024
 
+// Loader loads one version after the other and reads only those files again
+// that have changed. It's for one goroutine at a time.
+type Loader struct {
+	known map[string]parsed
+}
+
+// New returns a loader that has seen no files.
+func New() *Loader {
+	return &Loader{known: make(map[string]parsed)}
+}
+
 // Load merges the files, which are contents by name, into the configuration
 // with the given version. It returns either that or all problems in the order
 // of their places.
-func Load(version int64, files map[string][]byte) (*config.Config, []diag.Diagnostic) {
+func (l *Loader) Load(version int64, files map[string][]byte) (*config.Config, []diag.Diagnostic) {
 	m := &merger{}
+	known := make(map[string]parsed, len(files))
 	for _, name := range slices.Sorted(maps.Keys(files)) {
-		m.add(name, files[name])
+		p, ok := l.known[name]
+		if !ok || !bytes.Equal(p.content, files[name]) {
+			p = parse(name, files[name])
+		}
+		known[name] = p
+		m.add(p)
 	}
+	l.known = known
 	teams, services := m.checkTeams(), m.checkServices()
 	m.checkRoutes(teams, services)
 	if len(m.problems) > 0 {
@@ -43,7 +62,16 @@
 		(strings.HasSuffix(name, ".yaml") || strings.HasSuffix(name, ".yml"))
 }
 
-// merger collects what the files define and what is wrong with them.
+// parsed is what one file defines and what is wrong in it alone.
+type parsed struct {
+	content  []byte
+	teams    []item[team.Team]
+	services []item[servc.Service]
+	routes   []item[route.Route]
+	problems []diag.Diagnostic
+}
+
+// merger collects what all files define and what is wrong with them together.
 type merger struct {
 	teams    []item[team.Team]
 	services []item[servc.Service]
@@ -51,6 +79,13 @@
 	problems []diag.Diagnostic
 }
 
+func (m *merger) add(p parsed) {
+	m.teams = append(m.teams, p.teams...)
+	m.services = append(m.services, p.services...)
+	m.routes = append(m.routes, p.routes...)
+	m.problems = append(m.problems, p.problems...)
+}
+
 // item is one entry of an area with the places of its fields and of the
 // elements of its lists.
 type item[T any] struct {
@@ -71,18 +106,20 @@
 	return all
 }
 
-func (m *merger) add(name string, content []byte) {
-	r := &reader{file: name, problems: &m.problems}
+func parse(name string, content []byte) parsed {
+	p := parsed{content: content}
+	r := &reader{file: name, problems: &p.problems}
 	for _, e := range r.areas(content) {
 		switch e.key {
 		case "Teams":
-			m.teams = append(m.teams, readList(r, e, teamFields)...)
+			p.teams = append(p.teams, readList(r, e, teamFields)...)
 		case "Services":
-			m.services = append(m.services, readList(r, e, serviceFields)...)
+			p.services = append(p.services, readList(r, e, serviceFields)...)
 		case "Routes":
-			m.routes = append(m.routes, readList(r, e, routeFields)...)
+			p.routes = append(p.routes, readList(r, e, routeFields)...)
 		default:
 			r.report(e.place, "unknown area %q: use Teams, Services or Routes", e.key)
 		}
 	}
+	return p
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -16,7 +16,7 @@
 	f.Add([]byte("Teams: &a [*a]\n<<: *a\n? [x]\n: y\n---\n!!map {}\n"))
 	f.Add([]byte("Routes: [{Retries: 010, BodyLimit: 1MiB, OpenToAll: yes}]\n\"\\x"))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		c, problems := loader.Load(7, map[string][]byte{"a.yaml": content})
+		c, problems := loader.New().Load(7, map[string][]byte{"a.yaml": content})
 		assert.Equal(t, c == nil, len(problems) > 0)
 		if c != nil {
 			assert.Equal(t, c.Version(), int64(7))
@@ -34,7 +34,7 @@
 func TestDeepNestingIsNoDanger(t *testing.T) {
 	for _, s := range []string{"[", "- ", "{a: ", "? ", "!a ", "&a "} {
 		deep := strings.Repeat(s, loader.FileLimit/len(s))
-		_, problems := loader.Load(1, map[string][]byte{"a.yaml": []byte(deep)})
+		_, problems := loader.New().Load(1, map[string][]byte{"a.yaml": []byte(deep)})
 		assert.Assert(t, len(problems) > 0, s)
 	}
 }
@@ -47,7 +47,7 @@
 		"Teams: [{Name: a, Rate: 1, Burst: 1, Keys: [" + key + ", " + key + "]}]",
 		"Teams: [{Name: a, Rate: 1, Burst: 1, Keys: [\"" + key + "]}]",
 	} {
-		_, problems := loader.Load(1, map[string][]byte{"a.yaml": []byte(text)})
+		_, problems := loader.New().Load(1, map[string][]byte{"a.yaml": []byte(text)})
 		assert.Assert(t, len(problems) > 0)
 		for _, p := range problems {
 			assert.Assert(t, !strings.Contains(p.String(), key), p.String())
