--- /dev/null
+++ b/digest/digest.go
@@ -0,0 +1,67 @@
+// Package digest sums up a set of versioned entries in a small tree of
+// hashes, so that two nodes find out what differs between their sets with a
+// few short messages.
+//
+// A leaf covers the entries whose keys begin with the same bits, a group
+// covers neighbouring leaves, and the root all groups. Each hash is the
+// exclusive or of its entries, so a change costs three operations.
+package digest
+
+const (
+	// GroupCount is the number of groups below the root.
+	GroupCount = 32
+	// GroupLeaves is the number of leaves in a group.
+	GroupLeaves = 32
+	// LeafCount is the number of leaves in the tree.
+	LeafCount = GroupCount * GroupLeaves
+
+	leafShift = 64 - 10
+	mixFactor = 0x9e3779b97f4a7c15
+	mixShift  = 29
+)
+
+// Tree is the digest of a set. The zero value is that of the empty set. It
+// isn't safe for concurrent use.
+type Tree struct {
+	root   uint64
+	groups [GroupCount]uint64
+	leaves [LeafCount]uint64
+}
+
+// LeafOf returns the index of the leaf that covers a key.
+func LeafOf(key uint64) int {
+	return int(key >> leafShift)
+}
+
+// Toggle adds the entry with this key and mark (the hash of its version), or
+// takes it out if it's in the set.
+func (t *Tree) Toggle(key uint64, mark uint32) {
+	h := mix(key, mark)
+	leaf := LeafOf(key)
+	t.leaves[leaf] ^= h
+	t.groups[leaf/GroupLeaves] ^= h
+	t.root ^= h
+}
+
+// Root returns the hash of the whole set.
+func (t *Tree) Root() uint64 {
+	return t.root
+}
+
+// Group returns the short hash of a group.
+func (t *Tree) Group(i int) uint32 {
+	return uint32(t.groups[i])
+}
+
+// Leaf returns the short hash of a leaf.
+func (t *Tree) Leaf(i int) uint32 {
+	return uint32(t.leaves[i])
+}
+
+// mix spreads the entry's bits over the hash, so that entries with like marks
+// don't cancel each other out.
+func mix(key uint64, mark uint32) uint64 {
+	h := (key ^ uint64(mark)*mixFactor) * mixFactor
+	h ^= h >> mixShift
+	return h * mixFactor
+}
--- /dev/null
+++ b/gossip/spread.go
@@ -0,0 +1,205 @@
+package gossip
+
+import "slices"
+
+const (
+	// pushCount is the number of peers that a new entry is pushed to.
+	pushCount = 5
+	// batchBytes is about how much one batch of entries may take.
+	batchBytes = 16 << 10
+	// inlineBytes is the size of the largest value that is pushed as it is.
+	// Of larger ones only the hashes are pushed, and who lacks it asks.
+	inlineBytes = 256
+	// recentCount bounds the recent entries that ride on one message.
+	recentCount = 32
+	// askAgainMillis is how long an answer is awaited.
+	askAgainMillis = 200
+	// memberBytes and factBytes are about what a record takes beside its text.
+	memberBytes = 40
+	factBytes   = 24
+)
+
+// handle takes a message apart and sends back what it calls for.
+func (g *Gossip) handle(from string, m message) {
+	var answer message
+	want, tell := g.heard(from, m.Incarnation)
+	g.take(m)
+	if want {
+		g.ask(&answer, keyOfMember(from))
+	}
+	if tell {
+		g.give(&answer, g.entries[keyOfMember(from)])
+	}
+	if m.Probe != nil {
+		answer.Probe = g.answerProbe(from, *m.Probe)
+	}
+	if m.Recent != nil {
+		g.askMissing(&answer, *m.Recent)
+	}
+	g.giveAll(&answer, m.Wants)
+	if m.Walk != nil {
+		g.step(from, &answer, *m.Walk)
+	}
+	isOneSided := m.Beat && !g.isWatched(from)
+	if isOneSided || !answer.isEmpty() {
+		g.post(answer, from)
+	}
+}
+
+func (m message) isEmpty() bool {
+	return m.Probe == nil && m.Walk == nil &&
+		len(m.Wants) == 0 && len(m.People) == 0 && len(m.Facts) == 0
+}
+
+// take stores the entries of a message. What comes while the node catches up
+// is old news to the others and isn't pushed on.
+func (g *Gossip) take(m message) {
+	spread := g.settled || m.Walk == nil
+	for _, w := range m.People {
+		g.applyMember(w.member(), w.LeftMillis, spread)
+	}
+	for _, w := range m.Facts {
+		g.takeFact(w, spread)
+	}
+}
+
+func (g *Gossip) takeFact(w wireFact, spread bool) {
+	_, known := g.entries[keyOfFact(w.Key)]
+	isFading := w.LeftMillis > 0 && w.LeftMillis <= fadeMillis
+	if !known && isFading || len(w.Value) > MaxValueBytes {
+		return
+	}
+	f := fact{key: w.Key, version: w.Version, value: w.Value}
+	g.applyFact(f, max(w.LeftMillis, 0), spread)
+}
+
+// push sends new entries to a few random peers, as one batch.
+func (g *Gossip) push() {
+	if len(g.fresh) == 0 {
+		return
+	}
+	peers := g.pickPeers(pushCount, "")
+	if len(peers) == 0 {
+		g.fresh = nil
+		return
+	}
+	var m message
+	size := 0
+	for len(g.fresh) > 0 && size < batchBytes {
+		e := g.fresh[0]
+		g.fresh = g.fresh[1:]
+		if e.dropped {
+			continue
+		}
+		size += g.pushOne(&m, e)
+	}
+	if size > 0 {
+		g.post(m, peers...)
+	}
+}
+
+func (g *Gossip) pushOne(m *message, e *entry) int {
+	if len(e.fact.value) <= inlineBytes {
+		return g.give(m, e)
+	}
+	if m.Recent == nil {
+		m.Recent = &briefs{}
+	}
+	m.Recent.add(e)
+	return factBytes
+}
+
+// give adds an entry to a message and returns about how much it takes.
+func (g *Gossip) give(m *message, e *entry) int {
+	left := e.leftMillis(g.clock.Now())
+	if e.isMember() {
+		m.People = append(m.People, toWire(e.member, left))
+		return memberBytes + len(e.member.ID) + len(e.member.Callers)
+	}
+	m.Facts = append(m.Facts, wireFact{
+		Key:        e.fact.key,
+		Version:    e.fact.version,
+		Value:      e.fact.value,
+		LeftMillis: left,
+	})
+	return factBytes + len(e.fact.key) + len(e.fact.value)
+}
+
+// giveAll adds the wanted entries up to the size of a batch, and tells whether
+// all went in.
+func (g *Gossip) giveAll(m *message, keys []uint64) bool {
+	size := 0
+	for _, k := range keys {
+		if size >= batchBytes {
+			return false
+		}
+		if e, ok := g.entries[k]; ok {
+			size += g.give(m, e)
+		}
+	}
+	return true
+}
+
+// recentBriefs returns the hashes of the newest entries, for those who missed
+// them.
+func (g *Gossip) recentBriefs(now int64) *briefs {
+	var b briefs
+	for i := len(g.recent) - 1; i >= 0 && len(b.Keys) < recentCount; i-- {
+		e := g.recent[i]
+		if now-e.changedAt >= recentMillis {
+			break
+		}
+		if !e.dropped {
+			b.add(e)
+		}
+	}
+	if len(b.Keys) == 0 {
+		return nil
+	}
+	return &b
+}
+
+// askMissing asks for the listed entries that the node never saw.
+func (g *Gossip) askMissing(m *message, b briefs) {
+	for i, k := range b.Keys {
+		if !g.knows(k, b.Marks[i]) {
+			g.ask(m, k)
+		}
+	}
+}
+
+func (g *Gossip) knows(key uint64, mark uint32) bool {
+	if e, ok := g.entries[key]; ok && e.mark == mark {
+		return true
+	}
+	_, ok := g.seen[versionHash(key, mark)]
+	return ok
+}
+
+// ask adds a wish to a message, unless an answer to the same is on its way.
+func (g *Gossip) ask(m *message, key uint64) {
+	now := g.clock.Now()
+	if at, ok := g.asked[key]; ok && now-at < askAgainMillis {
+		return
+	}
+	g.asked[key] = now
+	m.Wants = append(m.Wants, key)
+}
+
+// pickPeers returns up to n random ones of the fingers and neighbours.
+func (g *Gossip) pickPeers(n int, except string) []string {
+	if g.fingers == nil {
+		g.fingers = g.ring.Fingers(g.self)
+	}
+	peers := slices.Clone(g.fingers)
+	for _, w := range g.watches {
+		if !slices.Contains(peers, w.id) {
+			peers = append(peers, w.id)
+		}
+	}
+	peers = slices.DeleteFunc(peers, func(id string) bool { return id == except })
+	g.random.Shuffle(len(peers), func(i, j int) {
+		peers[i], peers[j] = peers[j], peers[i]
+	})
+	return peers[:min(n, len(peers))]
+}
--- a/member/member.go
+++ b/member/member.go
@@ -25,7 +25,11 @@
 	Ready bool
 	// Leaving says that the instance takes no new work and will go.
 	Leaving bool
-	// Dead says that the incarnation is gone for good.
+	// Suspect says that nobody has heard of the node for a while. It takes no
+	// new work, until the node itself refutes it with a higher Serial.
+	Suspect bool
+	// Dead says that the incarnation is proved to be gone: its address refused
+	// a connection, or the node said so itself. Nothing revokes it.
 	Dead bool
 }
 
@@ -49,6 +53,22 @@
 	return m
 }
 
+// WithSuspect returns the record of a member that nobody hears of.
+func (m Member) WithSuspect() Member {
+	m.Suspect = true
+	return m
+}
+
+// WithIncarnation returns the record of the first moment of a new life on the
+// same ID: neither suspect nor dead, and with the first serial number.
+func (m Member) WithIncarnation(incarnation int64) Member {
+	m.Incarnation = incarnation
+	m.Serial = 1
+	m.Suspect = false
+	m.Dead = false
+	return m
+}
+
 // WithDead returns the record of a member that is gone.
 func (m Member) WithDead() Member {
 	m.Dead = true
@@ -56,7 +76,9 @@
 }
 
 // Newer tells whether the record supersedes the other one of the same ID. A
-// death ends its own incarnation only, whatever the serial numbers say.
+// proved death ends its own incarnation only, whatever the serial numbers say.
+// A suspicion holds against the serial number that it was raised at, so that
+// only the member itself, with a higher one, refutes it.
 func (m Member) Newer(other Member) bool {
 	if m.Incarnation != other.Incarnation {
 		return m.Incarnation > other.Incarnation
@@ -64,10 +86,13 @@
 	if m.Dead != other.Dead {
 		return m.Dead
 	}
-	return m.Serial > other.Serial
+	if m.Serial != other.Serial {
+		return m.Serial > other.Serial
+	}
+	return m.Suspect && !other.Suspect
 }
 
 // TakesWork tells whether new requests may be sent to the member's target.
 func (m Member) TakesWork() bool {
-	return m.Ready && !m.Leaving && !m.Dead
+	return m.Ready && !m.Leaving && !m.Suspect && !m.Dead
 }
