--- a/relay/link.go
+++ b/relay/link.go
@@ -158,8 +158,9 @@
 	if reached {
 		bytes = bytes[:max(left, 0)]
 	}
-	_, err := to.Write(bytes)
+	// Counted first, so that whoever has the bytes finds them counted.
 	l.passed[d].Add(int64(len(bytes)))
+	_, err := to.Write(bytes)
 	if reached {
 		l.do(after)
 	}
