--- a/runlog/runlog.go
+++ b/runlog/runlog.go
@@ -90,12 +90,18 @@
 	return nil
 }
 
-// Read reads JSON lines as Write or the file holds them. Of several lines with
-// the same serial number, the last one counts. A half last line, which a
+// place names a run within the file of one target.
+type place struct {
+	life   int64
+	serial int64
+}
+
+// Read reads JSON lines as Write or the file holds them. Of several lines of
+// the same run, the last one counts. A half last line, which a
 // killed process can leave, is passed over.
 func Read(r io.Reader) ([]runrec.Run, error) {
 	var runs []runrec.Run
-	place := make(map[int64]int)
+	index := make(map[place]int)
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, lineBytes)
 	var broken error
@@ -107,11 +113,12 @@
 		if broken = json.Unmarshal(lines.Bytes(), &one); broken != nil {
 			continue
 		}
-		if i, ok := place[one.Serial]; ok {
+		at := place{one.Life, one.Serial}
+		if i, ok := index[at]; ok {
 			runs[i] = one
 			continue
 		}
-		place[one.Serial] = len(runs)
+		index[at] = len(runs)
 		runs = append(runs, one)
 	}
 	return runs, errors.Wrap(lines.Err(), "runlog: reading runs")
--- a/runrec/runrec.go
+++ b/runrec/runrec.go
@@ -15,9 +15,11 @@
 
 // Run is one request that a target began to work on.
 type Run struct {
-	// Target and Service name the process, Serial counts its runs from 1.
+	// Target and Service name the target, Life the process: its start in
+	// milliseconds since 1970. Serial counts the process's runs from 1.
 	Target  string
 	Service string
+	Life    int64
 	Serial  int64
 	// Request is the identity that the entry node gave to the request, Marker
 	// the one that the load generator gave to it.
--- a/target/serve.go
+++ b/target/serve.go
@@ -72,6 +72,7 @@
 	run := runrec.Run{
 		Target:         t.address,
 		Service:        t.service,
+		Life:           t.start,
 		Request:        r.Header.Get(header.Request),
 		Marker:         markerOf(r),
 		Team:           r.Header.Get(header.Team),
