Serve a request from end to end: entry, hop, gate, target and back

The thin whole path as separate processes: a node takes a caller's request through the entry's stages, picks an instance, passes it over the hop (HTTP/2 over mutual TLS from the fleet's secret), admits it at the gate and runs it at the target beside it. Targets call on through their own node with the call token. Control messages go over net/rpc with a CBOR codec.

Weighed for the hop: net/rpc has no streaming, no cancellation and no visible end, so it carries only control; HTTP/1.1 has no ping to find silent connections. A request that must not run twice is sent in two steps, so that an attempt that fails before the confirmation has certainly not run.

--- /dev/null
+++ b/calls/calls.go
@@ -0,0 +1,66 @@
+// Package calls keeps the requests that run at a node's target, by the token
+// with which the target names them.
+package calls
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+
+	"bergamotloom.example/call"
+)
+
+const tokenBytes = 16
+
+// Calls is the table of running requests. It's safe for many goroutines.
+type Calls struct {
+	mutex sync.RWMutex
+	table map[string]*call.Call
+}
+
+// New returns an empty table.
+func New() *Calls {
+	return &Calls{table: make(map[string]*call.Call)}
+}
+
+// NewToken returns a fresh random value for a token or an identity: 32 hex
+// digits.
+func NewToken() string {
+	var b [tokenBytes]byte
+	// Read never fails: it ends the process when there is no randomness.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Add enters a call that begins to run.
+func (c *Calls) Add(a *call.Call) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.table[a.Token] = a
+}
+
+// Remove takes a call out that has ended. Its token is worth nothing then.
+func (c *Calls) Remove(a *call.Call) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.table, a.Token)
+}
+
+// Find returns the running call with this token.
+func (c *Calls) Find(token string) (*call.Call, bool) {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	a, ok := c.table[token]
+	return a, ok
+}
+
+// All returns the running calls.
+func (c *Calls) All() []*call.Call {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	all := make([]*call.Call, 0, len(c.table))
+	for _, a := range c.table {
+		all = append(all, a)
+	}
+	return all
+}
--- /dev/null
+++ b/dispat/dispat.go
@@ -0,0 +1,288 @@
+// Package dispat brings a request to an instance of its service: it picks the
+// instance, sends the request, and sends it again elsewhere where that is safe
+// and the request's allowance and the budget of retries permit it.
+package dispat
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"bergamotloom.example/calls"
+	"bergamotloom.example/choose"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/envel"
+	"bergamotloom.example/level"
+	"bergamotloom.example/member"
+	"bergamotloom.example/passer"
+	"bergamotloom.example/ratio"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/refuse"
+	"bergamotloom.example/reply"
+	"bergamotloom.example/retry"
+	"bergamotloom.example/runst"
+)
+
+const (
+	// retryShare bounds the retries of a pair of services to a part of its
+	// first sends, and savedRetries is what such a budget saves up at most.
+	retryShare   = 0.08
+	savedRetries = 20
+
+	// lostMillis is how long an instance is passed over after it was silent or
+	// broke a connection, goneMillis after it refused one.
+	lostMillis = 1000
+	goneMillis = 5000
+
+	// parties is by how many an allowance is divided when a request is sent:
+	// the node keeps a part for sending it again, the rest goes along.
+	parties = 2
+)
+
+// Dispatcher sends requests to the instances that one node knows. It's safe
+// for many goroutines.
+type Dispatcher struct {
+	clock  clock.Clock
+	passer *passer.Passer
+	// gone is told of an instance that refused a connection, suspect of one
+	// that was silent.
+	gone    func(m member.Member)
+	suspect func(m member.Member)
+
+	mutex   sync.Mutex
+	chooser *choose.Chooser
+	budgets map[pair]*ratio.Ratio
+}
+
+// pair names the service that calls, empty for callers, and the called one.
+type pair struct {
+	from, to string
+}
+
+// New returns a dispatcher that owns the chooser. Gone and suspect are called
+// without any lock when an instance refuses a connection or is silent.
+func New(c clock.Clock, p *passer.Passer, chooser *choose.Chooser, gone, suspect func(member.Member)) *Dispatcher {
+	return &Dispatcher{
+		clock:   c,
+		passer:  p,
+		gone:    gone,
+		suspect: suspect,
+		chooser: chooser,
+		budgets: make(map[pair]*ratio.Ratio),
+	}
+}
+
+// Update takes the list of all members.
+func (d *Dispatcher) Update(members []member.Member) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.chooser.Update(members)
+}
+
+// Send brings the request to an instance of the service, on behalf of a
+// service or of a caller (from is empty then). The envelope says what it is,
+// deadlineMillis when its time runs out, and allowance how often it may be
+// sent again, here and below. It returns the answer and the unused allowance.
+func (d *Dispatcher) Send(ctx context.Context, from, service string, e envel.Envelope, deadlineMillis int64, allowance retry.Allowance, r *http.Request) (reply.Reply, retry.Allowance) {
+	s := &sending{
+		owner:     d,
+		service:   service,
+		pair:      pair{from, service},
+		envelope:  e,
+		deadline:  deadlineMillis,
+		allowance: allowance,
+		body:      newReplay(r),
+		lowest:    reply.NoThreshold,
+		part:      1,
+	}
+	if !e.Idempotent || !s.body.empty() {
+		// A request that must not run twice, or that has a body, waits for
+		// its admission, so that an attempt before that is free.
+		s.envelope = e.WithConfirm()
+	}
+	d.earn(s.pair)
+	got := s.run(ctx)
+	return got, s.allowance
+}
+
+func (d *Dispatcher) earn(p pair) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.budget(p).Earn()
+}
+
+func (d *Dispatcher) spend(p pair) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.budget(p).Spend()
+}
+
+func (d *Dispatcher) budget(p pair) *ratio.Ratio {
+	b, ok := d.budgets[p]
+	if !ok {
+		b = ratio.New(retryShare, savedRetries)
+		d.budgets[p] = b
+	}
+	return b
+}
+
+func (d *Dispatcher) pick(service string, tried []string) (member.Member, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	m, ok := d.chooser.Pick(service, tried...)
+	if ok {
+		d.chooser.Started(m.ID)
+	}
+	return m, ok
+}
+
+func (d *Dispatcher) ended(m member.Member, a reply.Reply, whole bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	threshold := level.Full
+	if a.Threshold != reply.NoThreshold {
+		threshold = level.Level(a.Threshold)
+	}
+	d.chooser.Ended(m.ID, whole, a.TookMillis, threshold)
+	switch {
+	case a.Gone:
+		d.chooser.Lost(m.ID, goneMillis)
+	case a.Silent || a.Refusal.Reason == reason.InstanceLost:
+		d.chooser.Lost(m.ID, lostMillis)
+	}
+}
+
+// sending is one request on its way, with all its attempts.
+type sending struct {
+	owner     *Dispatcher
+	service   string
+	pair      pair
+	envelope  envel.Envelope
+	deadline  int64
+	allowance retry.Allowance
+	body      *replay
+	tried     []string
+	// maybe says that an attempt before may have run.
+	maybe  bool
+	lowest int
+	part   float64
+}
+
+// run sends the request until it's answered or may not be sent again.
+func (s *sending) run(ctx context.Context) reply.Reply {
+	got := reply.Refuse(refuse.New(reason.NoInstance))
+	for {
+		left := s.deadline - s.owner.clock.Now()
+		if left <= 0 {
+			return s.finish(reply.Refuse(refuse.New(reason.DeadlineExceeded)))
+		}
+		m, ok := s.owner.pick(s.service, s.tried)
+		if !ok {
+			return s.finish(got)
+		}
+		got = s.attempt(ctx, m, left)
+		if got.Served() || !s.again(got) {
+			return s.finish(got)
+		}
+		s.tried = append(s.tried, m.ID)
+	}
+}
+
+// attempt sends the request to one instance.
+func (s *sending) attempt(ctx context.Context, m member.Member, leftMillis int64) reply.Reply {
+	rest, lent := s.allowance.Split(parties)
+	s.allowance = rest
+	e := s.envelope.WithAttempt(calls.NewToken(), leftMillis, lent.Left())
+	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request())
+	s.allowance = s.allowance.Merge(retry.New(got.Unused))
+	s.learn(got)
+	s.tell(m, got)
+	if !got.Served() {
+		s.maybe = s.maybe || got.Refusal.Ran != runst.Never
+		s.owner.ended(m, got, false)
+		return got
+	}
+	got.Body = &ending{ReadCloser: got.Body, done: func(whole bool) { s.owner.ended(m, got, whole) }}
+	return got
+}
+
+// tell passes on what the attempt showed of the instance.
+func (s *sending) tell(m member.Member, got reply.Reply) {
+	switch {
+	case got.Gone:
+		s.owner.gone(m)
+	case got.Silent:
+		s.owner.suspect(m)
+	}
+}
+
+// learn keeps the lowest threshold of all attempts.
+func (s *sending) learn(got reply.Reply) {
+	if got.Lowest == reply.NoThreshold {
+		return
+	}
+	if s.lowest == reply.NoThreshold || got.Lowest < s.lowest {
+		s.lowest, s.part = got.Lowest, got.Part
+	}
+}
+
+// again tells whether the refused request may be sent to another instance. A
+// request that never ran may; one that may have run only if it's idempotent.
+func (s *sending) again(got reply.Reply) bool {
+	if !worthRetry(got.Refusal.Reason) || !s.body.whole() {
+		return false
+	}
+	if !retry.Safe(got.Refusal.Ran, s.envelope.Idempotent) {
+		return false
+	}
+	rest, ok := s.allowance.Take()
+	if !ok || !s.owner.spend(s.pair) {
+		return false
+	}
+	s.allowance = rest
+	return true
+}
+
+// worthRetry tells whether another instance might answer.
+func worthRetry(why reason.Reason) bool {
+	switch why {
+	case reason.InstanceLost, reason.Overloaded, reason.Leaving, reason.NoInstance, reason.NotInForce:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *sending) finish(got reply.Reply) reply.Reply {
+	got.Lowest, got.Part = s.lowest, s.part
+	// The last attempt never ran, but one before it may have.
+	if !got.Served() && s.maybe {
+		got.Refusal = got.Refusal.WithRan(runst.Maybe)
+	}
+	return got
+}
+
+// ending tells when an answer's stream has ended, and whether it was whole.
+type ending struct {
+	io.ReadCloser
+	once  sync.Once
+	whole bool
+	done  func(whole bool)
+}
+
+// Read passes the body on and takes note of its end.
+func (e *ending) Read(b []byte) (int, error) {
+	n, err := e.ReadCloser.Read(b)
+	if err == io.EOF { //nolint:errorlint // readers return a bare io.EOF
+		e.whole = true
+	}
+	return n, err
+}
+
+// Close ends the attempt.
+func (e *ending) Close() error {
+	err := e.ReadCloser.Close()
+	e.once.Do(func() { e.done(e.whole) })
+	return err
+}
--- /dev/null
+++ b/entry/early.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/early"
+	"bergamotloom.example/level"
+	"bergamotloom.example/rank"
+	"bergamotloom.example/ratio"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/refuse"
+	"bergamotloom.example/reply"
+)
+
+const (
+	// retryAfterMillis is what a caller is told that was refused early.
+	retryAfterMillis = 1000
+	// retryShare bounds the retries of requests that enter here to a part of
+	// their number, and savedRetries is what that budget saves up at most.
+	retryShare   = 0.08
+	savedRetries = 20
+)
+
+// filter is what the node knows of overload behind each route, and the budget
+// of retries for new requests, behind one lock.
+type filter struct {
+	mutex   sync.Mutex
+	early   *early.Filter
+	entries *ratio.Ratio
+}
+
+func newFilter(c clock.Clock) *filter {
+	return &filter{early: early.New(c), entries: ratio.New(retryShare, savedRetries)}
+}
+
+func (f *filter) passes(route, team string, r rank.Rank) (float64, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.early.Passes(route, team, r, rand.Float64())
+}
+
+func (f *filter) learn(route, team string, a reply.Reply) {
+	if a.Lowest == reply.NoThreshold {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.early.Learn(route, team, level.Level(a.Lowest), a.Part)
+}
+
+// grant counts a new request and takes up to n retries from the budget.
+func (f *filter) grant(n int) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.entries.Earn()
+	return f.entries.Grant(n)
+}
+
+func (f *filter) giveBack(n int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.entries.Return(n)
+}
+
+// refuseEarly refuses a new request here when the gates behind its route told
+// that they would refuse it, before any work is spent on it.
+func refuseEarly(e *Entry, k *work) (refuse.Refusal, bool) {
+	share, ok := e.filter.passes(k.route.Name, k.team.Name, k.route.Rank)
+	if !ok {
+		return refuse.New(reason.Overloaded).WithRetryAfter(retryAfterMillis), true
+	}
+	k.envelope.Passed = share
+	return pass()
+}
--- a/member/member.go
+++ b/member/member.go
@@ -96,3 +96,9 @@
 func (m Member) TakesWork() bool {
 	return m.Ready && !m.Leaving && !m.Suspect && !m.Dead
 }
+
+// WithoutTarget returns the record of a node whose target went silent.
+func (m Member) WithoutTarget() Member {
+	m.Ready = false
+	return m
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,213 @@
+// Package node puts the parts of one node together: its ports, its duties and
+// its planned stop.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"bergamotloom.example/admit"
+	"bergamotloom.example/calls"
+	"bergamotloom.example/choose"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/dispat"
+	"bergamotloom.example/entry"
+	"bergamotloom.example/gossip"
+	"bergamotloom.example/inforc"
+	"bergamotloom.example/links"
+	"bergamotloom.example/local"
+	"bergamotloom.example/member"
+	"bergamotloom.example/passer"
+	"bergamotloom.example/quota"
+	"bergamotloom.example/rates"
+	"bergamotloom.example/remote"
+	"bergamotloom.example/runner"
+	"bergamotloom.example/secret"
+	"bergamotloom.example/setup"
+	"bergamotloom.example/spread"
+)
+
+const platformTimeoutMillis = 2000
+
+// Kinds of control messages besides those of package spread.
+const (
+	gossipKind = "Gossip"
+	quotaKind  = "Quota"
+)
+
+// Node is one running node.
+type Node struct {
+	setup    setup.Setup
+	clock    clock.Clock
+	log      *slog.Logger
+	registry metrics.Registry
+	ports    *ports
+
+	platform   *remote.Client
+	links      *links.Links
+	gossip     *gossip.Gossip
+	quota      *quota.Quota
+	rates      *rates.Rates
+	store      *inforc.Store
+	spread     *spread.Spreader
+	calls      *calls.Calls
+	target     *local.Local
+	gate       *admit.Admitter
+	passer     *passer.Passer
+	dispatcher *dispat.Dispatcher
+	entry      *entry.Entry
+	runner     *runner.Runner
+
+	// duties ends the background work, after the last request.
+	duties  context.Context
+	end     context.CancelFunc
+	group   sync.WaitGroup
+	changed atomic.Bool
+	leaving atomic.Bool
+}
+
+// New opens the ports and builds the parts. The settings must have passed
+// their check.
+func New(ctx context.Context, s setup.Setup, c clock.Clock, log *slog.Logger) (*Node, error) {
+	secret, err := secret.New(s.Secret)
+	if err != nil {
+		return nil, err
+	}
+	platform, err := remote.New(s.Platform, platformTimeoutMillis*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	opened, err := openPorts(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		setup:    s,
+		clock:    c,
+		log:      log,
+		registry: metrics.NewRegistry(),
+		ports:    opened,
+		platform: platform,
+		store:    inforc.New(),
+		calls:    calls.New(),
+		target:   local.New(c),
+		gate:     admit.New(c, s.QueueMillis),
+		passer:   passer.New(c, secret),
+	}
+	// The duties outlive the signal to stop: requests in flight need them.
+	n.duties, n.end = context.WithCancel(context.WithoutCancel(ctx))
+	if err := n.build(secret); err != nil {
+		opened.close()
+		n.end()
+		return nil, err
+	}
+	return n, nil
+}
+
+// build makes the parts that need one another.
+func (n *Node) build(secret *secret.Secret) error {
+	self := n.self()
+	send := func(to, kind string, body []byte) { n.links.Send(to, kind, body) }
+	n.gossip = gossip.New(self, n.clock, rand.Uint64(), func(to string, message []byte) {
+		send(to, gossipKind, message)
+	})
+	n.gossip.OnMember = func(member.Member) { n.changed.Store(true) }
+	n.gossip.OnFact = func(key string, version int64, value []byte) { n.spread.OnFact(key, version, value) }
+	n.quota = quota.New(self.ID, self.Incarnation, n.clock, rand.Uint64(), func(to string, message []byte) {
+		send(to, quotaKind, message)
+	})
+	n.rates = rates.New(n.clock, n.quota, n.platform.Table())
+	n.spread = spread.New(n.clock, self.ID, configRows{n.platform.Table()}, n.store, n.gossip, send, n.registry, n.log)
+	chooser := choose.New(n.clock, n.setup.Centre, rand.Uint64())
+	n.dispatcher = dispat.New(n.clock, n.passer, chooser, n.memberGone, n.memberSilent)
+	n.entry = entry.New(n.clock, n.spread.InForce, n.ownService, n.calls, n.dispatcher, n.rates, n.registry, n.log)
+	n.runner = runner.New(n.clock, n.gate, n.calls, n.target, n.registry, n.log)
+	made, err := links.New(n.duties, self.ID, secret, n.registry, n.log, n.receive, n.incarnationOf, n.peerGone)
+	n.links = made
+	n.ports.secure(secret, made.Serve)
+	return errors.Wrap(err, "node")
+}
+
+// self is the node's own record at its start.
+func (n *Node) self() member.Member {
+	return member.Member{
+		ID:          n.ports.address(n.ports.peers),
+		Incarnation: n.clock.Now(),
+		Centre:      n.setup.Centre,
+		Region:      n.setup.Region,
+		Callers:     n.ports.address(n.ports.callers),
+	}
+}
+
+// receive hands a control message to the part that it's for. All of them bear
+// lost, late and doubled messages.
+func (n *Node) receive(kind, from string, body []byte) {
+	switch kind {
+	case gossipKind:
+		n.gossip.Receive(from, body)
+	case quotaKind:
+		n.quota.Receive(from, body)
+	case spread.Kind:
+		n.spread.Receive(from, body)
+	default:
+		n.log.Warn("node: a peer sent a message of an unknown kind", "Kind", kind)
+	}
+}
+
+func (n *Node) incarnationOf(peer string) int64 {
+	m, ok := n.gossip.Member(peer)
+	if !ok {
+		return 0
+	}
+	return m.Incarnation
+}
+
+// peerGone takes the proof that an incarnation has ended: its address refused
+// a connection.
+func (n *Node) peerGone(peer string, incarnation int64) {
+	if incarnation == 0 {
+		return
+	}
+	n.gossip.Gone(peer, incarnation)
+	n.quota.Gone(peer, incarnation)
+}
+
+func (n *Node) memberGone(m member.Member) {
+	n.peerGone(m.ID, m.Incarnation)
+}
+
+func (n *Node) memberSilent(m member.Member) {
+	n.gossip.Suspect(m.ID)
+}
+
+func (n *Node) ownService() string {
+	name, _ := n.target.Service()
+	return name
+}
+
+// Run serves until the context ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.startDuties()
+	failed := n.ports.serve(n)
+	n.log.Info("node: ready", "Peers", n.ports.address(n.ports.peers), "Callers", n.ports.address(n.ports.callers))
+	var err error
+	select {
+	case <-ctx.Done():
+		n.stop()
+	case err = <-failed:
+	}
+	n.end()
+	n.ports.close()
+	n.group.Wait()
+	n.passer.Close()
+	n.target.Close()
+	n.platform.Close()
+	return err
+}
--- /dev/null
+++ b/node/ports.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	stdlog "log"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/links"
+	"bergamotloom.example/secret"
+	"bergamotloom.example/setup"
+)
+
+// Bounds of the ports.
+const (
+	headMillis        = 5_000
+	idleMillis        = 120_000
+	headBytes         = 32 * 1024
+	streamsMost       = 4096
+	pingAfterMillis   = 500
+	pingTimeoutMillis = 500
+)
+
+// ports holds the node's four listeners and their servers.
+type ports struct {
+	callers   net.Listener
+	local     net.Listener
+	peers     net.Listener
+	operators net.Listener
+
+	tls     *tls.Config
+	control func(net.Conn)
+	servers map[net.Listener]*http.Server
+}
+
+func openPorts(ctx context.Context, s setup.Setup) (*ports, error) {
+	p := &ports{servers: make(map[net.Listener]*http.Server)}
+	listens := []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.Callers, &p.callers}, {s.Local, &p.local}, {s.Peers, &p.peers}, {s.Operators, &p.operators},
+	}
+	for _, l := range listens {
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp", l.address)
+		if err != nil {
+			p.close()
+			return nil, errors.Wrapf(err, "node: listening on %s", l.address)
+		}
+		*l.into = listener
+	}
+	return p, nil
+}
+
+func (p *ports) address(l net.Listener) string {
+	return l.Addr().String()
+}
+
+// secure sets the TLS of the peer port and who serves its control connections.
+func (p *ports) secure(secret *secret.Secret, control func(net.Conn)) {
+	p.tls = secret.ServerTLS("h2", links.Protocol)
+	p.control = control
+}
+
+// Addresses returns the addresses of the ports as one line of JSON, as
+// {"Callers":"127.0.0.1:7000","Local":...,"Peers":...,"Operators":...}.
+func (n *Node) Addresses() string {
+	p := n.ports
+	raw, err := json.Marshal(struct{ Callers, Local, Peers, Operators string }{
+		p.address(p.callers), p.address(p.local), p.address(p.peers), p.address(p.operators),
+	})
+	if err != nil {
+		panic("node: addresses have no JSON form: " + err.Error())
+	}
+	return string(raw)
+}
+
+// serve starts all servers. The first one that fails tells so.
+func (p *ports) serve(n *Node) <-chan error {
+	failed := make(chan error, len(p.servers)+4)
+	p.servers[p.callers] = newServer(catchAll(n.entry.Callers()), n.log)
+	p.servers[p.local] = newServer(n.localHandler(), n.log)
+	p.servers[p.operators] = newServer(n.operatorsHandler(), n.log)
+	p.servers[p.peers] = p.peerServer(n)
+	for l, s := range p.servers {
+		go func() {
+			var err error
+			if s.TLSConfig != nil {
+				err = s.ServeTLS(l, "", "")
+			} else {
+				err = s.Serve(l)
+			}
+			if !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrap(err, "node: serving "+l.Addr().String())
+			}
+		}()
+	}
+	return failed
+}
+
+func newServer(h http.Handler, log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headMillis * time.Millisecond,
+		IdleTimeout:       idleMillis * time.Millisecond,
+		MaxHeaderBytes:    headBytes,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
+// peerServer serves requests of peers over HTTP/2, and control connections.
+func (p *ports) peerServer(n *Node) *http.Server {
+	s := newServer(n.runner, n.log)
+	s.Protocols = &http.Protocols{}
+	s.Protocols.SetHTTP2(true)
+	s.TLSConfig = p.tls
+	s.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: streamsMost,
+		SendPingTimeout:      pingAfterMillis * time.Millisecond,
+		PingTimeout:          pingTimeoutMillis * time.Millisecond,
+	}
+	s.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){
+		links.Protocol: func(_ *http.Server, conn *tls.Conn, _ http.Handler) { p.control(conn) },
+	}
+	return s
+}
+
+// catchAll serves every path and method by the handler, within echo.
+func catchAll(h http.Handler) *echo.Echo {
+	e := newEcho()
+	e.RouteNotFound("/*", echo.WrapHandler(h))
+	return e
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.StdLogger = stdlog.New(discard{}, "", 0)
+	return e
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// shutdown ends a port gracefully: its listener closes and what is in flight
+// goes on to its end, or until the context ends.
+func (p *ports) shutdown(ctx context.Context, l net.Listener) error {
+	s, ok := p.servers[l]
+	if !ok {
+		return nil
+	}
+	return errors.Wrap(s.Shutdown(ctx), "node: closing "+l.Addr().String())
+}
+
+// close ends all ports at once.
+func (p *ports) close() {
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	for _, l := range []net.Listener{p.callers, p.local, p.peers, p.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/passer/attempt.go
@@ -0,0 +1,165 @@
+package passer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/envel"
+)
+
+// attempt is one sending of a request to one peer.
+type attempt struct {
+	context  context.Context
+	cancel   context.CancelCauseFunc
+	envelope envel.Envelope
+	held     *heldBody
+
+	connected atomic.Bool
+	mutex     sync.Mutex
+	conn      net.Conn
+	timer     *time.Timer
+}
+
+func newAttempt(ctx context.Context, e envel.Envelope, r *http.Request) *attempt {
+	a := &attempt{envelope: e}
+	a.context, a.cancel = context.WithCancelCause(ctx)
+	if e.Confirm {
+		a.held = newHeldBody(a.context, r.Body)
+	}
+	return a
+}
+
+// request builds the request to the peer.
+func (a *attempt) request(peer string, r *http.Request) *http.Request {
+	traced := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
+		GotConn:        a.gotConn,
+		Got1xxResponse: a.gotInterim,
+	})
+	address := *r.URL
+	address.Scheme = "https"
+	address.Host = peer
+	out := (&http.Request{
+		Method:     r.Method,
+		URL:        &address,
+		Proto:      "HTTP/2.0",
+		ProtoMajor: 2,
+		Header:     r.Header.Clone(),
+		Host:       r.Host,
+	}).WithContext(traced)
+	out.Header.Set(envel.Header, a.envelope.Encode())
+	if a.held != nil {
+		// The length isn't told, because the confirmation byte comes before
+		// the body. With a body of unknown length the transport never sends
+		// a request again by itself, whatever its method and headers are.
+		out.Body = a.held
+		out.ContentLength = -1
+	}
+	return out
+}
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	a.connected.Store(true)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.conn = info.Conn
+}
+
+// gotInterim is called for each interim response: any is a sign of life, and
+// one of them is the admission.
+func (a *attempt) gotInterim(status int, _ textproto.MIMEHeader) error {
+	a.mutex.Lock()
+	if a.timer != nil {
+		a.timer.Reset(SilenceMillis * time.Millisecond)
+	}
+	a.mutex.Unlock()
+	if status == StatusAdmitted && a.held != nil {
+		a.held.release()
+	}
+	return nil
+}
+
+func (a *attempt) watch() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.timer = time.AfterFunc(SilenceMillis*time.Millisecond, a.silent)
+}
+
+func (a *attempt) unwatch() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.timer.Stop()
+}
+
+// silent gives the attempt up and closes its connection, so that no other
+// request waits for it in vain.
+func (a *attempt) silent() {
+	a.cancel(errSilent)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
+// heldBody is a request body that waits for the gate's admission. Its first
+// byte is the confirmation.
+type heldBody struct {
+	context   context.Context
+	body      io.ReadCloser
+	admitted  chan struct{}
+	once      sync.Once
+	confirmed atomic.Bool
+}
+
+func newHeldBody(ctx context.Context, body io.ReadCloser) *heldBody {
+	if body == nil {
+		body = http.NoBody
+	}
+	return &heldBody{context: ctx, body: body, admitted: make(chan struct{})}
+}
+
+func (h *heldBody) release() {
+	h.once.Do(func() { close(h.admitted) })
+}
+
+// released tells whether the confirmation byte may have left.
+func (h *heldBody) released() bool {
+	return h.confirmed.Load()
+}
+
+// Read blocks until the gate has admitted the request, gives the confirmation
+// byte and then the body.
+func (h *heldBody) Read(b []byte) (int, error) {
+	if h.confirmed.Load() {
+		return h.body.Read(b)
+	}
+	select {
+	case <-h.context.Done():
+		return 0, errors.Wrap(context.Cause(h.context), "passer: not admitted")
+	case <-h.admitted:
+	}
+	if err := h.context.Err(); err != nil {
+		return 0, errors.Wrap(err, "passer: not admitted in time")
+	}
+	if len(b) == 0 {
+		return 0, nil
+	}
+	h.confirmed.Store(true)
+	b[0] = Confirmation
+	return 1, nil
+}
+
+// Close does nothing: the body belongs to whoever made the request, who may
+// send it to another peer.
+func (h *heldBody) Close() error {
+	return nil
+}
--- /dev/null
+++ b/reply/reply.go
@@ -0,0 +1,57 @@
+// Package reply holds what came of sending a request to a peer: the target's
+// response as a stream, or a refusal.
+package reply
+
+import (
+	"io"
+	"net/http"
+
+	"bergamotloom.example/refuse"
+)
+
+// Reply is the outcome of one attempt. Either Body is set, and whoever holds
+// the answer closes it, or the attempt was refused.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser
+	Trailer *http.Header
+	// Length is the body's length in bytes, -1 if unknown.
+	Length int64
+
+	Refusal refuse.Refusal
+	// Threshold is what the gate said of its own admission, NoThreshold if it
+	// didn't. Lowest is the lowest threshold in the whole chain, and Part the
+	// part of it that the team gets there, from 0 to 1.
+	Threshold int
+	Lowest    int
+	Part      float64
+	// Unused is how much of the lent retry allowance came back.
+	Unused int
+	// Gone says that the peer refused the connection: its process has ended.
+	Gone bool
+	// Silent says that the peer's connection made no progress in its bound.
+	Silent bool
+	// TookMillis is the time from sending to the answer's first byte.
+	TookMillis float64
+}
+
+// NoThreshold stands for an answer without the gate's threshold.
+const NoThreshold = -1
+
+// Refuse returns the answer of an attempt that was refused.
+func Refuse(r refuse.Refusal) Reply {
+	return Reply{Refusal: r, Threshold: NoThreshold, Lowest: NoThreshold, Part: 1}
+}
+
+// Served tells whether the target answered.
+func (r Reply) Served() bool {
+	return r.Body != nil
+}
+
+// Close ends the stream, if there is one.
+func (r Reply) Close() {
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+}
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,78 @@
+// Package setup holds the settings of a node and checks them at its start.
+package setup
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/secret"
+)
+
+// Setup is what a node is told when it starts.
+type Setup struct {
+	// Callers, Local, Peers and Operators are the addresses to listen on, as
+	// IP number and port; port 0 takes any free one.
+	Callers   string
+	Local     string
+	Peers     string
+	Operators string
+	// Platform is the base URL of the platform's table service.
+	Platform string
+	// Secret is the fleet's shared secret.
+	Secret []byte
+	// Centre and Region name where the instance stands.
+	Centre string
+	Region string
+	// Join lists peer ports of nodes that may be asked at the start.
+	Join []string
+	// DrainMillis bounds how long a planned stop waits for requests in
+	// flight, in milliseconds.
+	DrainMillis int64
+	// QueueMillis is the longest wait at the gate, in milliseconds.
+	QueueMillis float64
+}
+
+// Check returns what is wrong with the settings, naming the setting, its value
+// and what is allowed.
+func (s Setup) Check() error {
+	listens := []struct{ name, value string }{
+		{"--callers", s.Callers}, {"--local", s.Local}, {"--peers", s.Peers}, {"--operators", s.Operators},
+	}
+	for _, l := range listens {
+		if _, err := netip.ParseAddrPort(l.value); err != nil {
+			return errors.Errorf("%s is %q: it must be an IP number and a port, as 127.0.0.1:7000", l.name, l.value)
+		}
+	}
+	if !loopback(s.Local) {
+		return errors.Errorf("--local is %q: it must be a loopback address, as only the own target may reach it", s.Local)
+	}
+	for _, j := range s.Join {
+		if _, err := netip.ParseAddrPort(j); err != nil {
+			return errors.Errorf("--join is %q: it must be IP numbers and ports of peers", j)
+		}
+	}
+	switch {
+	case s.Centre == "":
+		return errors.New("--centre is empty: it must name the data centre")
+	case s.Region == "":
+		return errors.New("--region is empty: it must name the region")
+	case len(s.Secret) < secret.MinBytes:
+		return errors.Errorf("the fleet's secret has %d bytes: it must have at least %d", len(s.Secret), secret.MinBytes)
+	case s.DrainMillis <= 0:
+		return errors.Errorf("--drain is %d ms: it must be positive", s.DrainMillis)
+	case s.QueueMillis < 0:
+		return errors.Errorf("--queue is %v ms: it must not be negative", s.QueueMillis)
+	}
+	return nil
+}
+
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/verbs/node.go
@@ -0,0 +1,85 @@
+package verbs
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/node"
+	"bergamotloom.example/setup"
+)
+
+type runNode struct {
+	Callers    string        `default:"127.0.0.1:0" env:"LOOM_CALLERS" help:"Address for callers."`
+	Local      string        `default:"127.0.0.1:0" env:"LOOM_LOCAL" help:"Loopback address for the target beside this node."`
+	Peers      string        `default:"127.0.0.1:0" env:"LOOM_PEERS" help:"Address for other nodes; it's also this node's ID."`
+	Operators  string        `default:"127.0.0.1:0" env:"LOOM_OPERATORS" help:"Address for health, state and metrics."`
+	Platform   string        `required:"" env:"LOOM_PLATFORM" help:"Base URL of the platform's table service."`
+	Secret     string        `env:"LOOM_SECRET" help:"The fleet's shared secret, at least 32 bytes. Better given in the environment or a file."`
+	SecretFile string        `env:"LOOM_SECRET_FILE" help:"File with the fleet's shared secret."`
+	Centre     string        `required:"" env:"LOOM_CENTRE" help:"Data centre of this instance."`
+	Region     string        `default:"here" env:"LOOM_REGION" help:"Region of this instance."`
+	Join       []string      `env:"LOOM_JOIN" help:"Peer addresses to ask at the start."`
+	Drain      time.Duration `default:"10m" env:"LOOM_DRAIN" help:"Longest wait for requests in flight at a planned stop."`
+	Queue      time.Duration `default:"50ms" env:"LOOM_QUEUE" help:"Longest wait at the gate."`
+}
+
+func nodeVerb() Verb {
+	return Verb{
+		Name:    "node",
+		Help:    "Run the node beside one target.",
+		Command: &runNode{},
+	}
+}
+
+// Run serves until a stop signal and then drains. It prints one line with its
+// addresses, as {"Callers":"127.0.0.1:7000","Local":...}.
+func (r *runNode) Run(s *session) error {
+	settings, err := r.settings()
+	if err != nil {
+		return usageError{err}
+	}
+	if err := settings.Check(); err != nil {
+		return usageError{err}
+	}
+	n, err := node.New(s.context, settings, clock.New(), s.log)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(s.out, n.Addresses()); err != nil {
+		return errors.Wrap(err, "printing the addresses")
+	}
+	return n.Run(s.context)
+}
+
+func (r *runNode) settings() (setup.Setup, error) {
+	secret, err := r.secret()
+	return setup.Setup{
+		Callers:     r.Callers,
+		Local:       r.Local,
+		Peers:       r.Peers,
+		Operators:   r.Operators,
+		Platform:    r.Platform,
+		Secret:      secret,
+		Centre:      r.Centre,
+		Region:      r.Region,
+		Join:        r.Join,
+		DrainMillis: r.Drain.Milliseconds(),
+		QueueMillis: float64(r.Queue.Milliseconds()),
+	}, err
+}
+
+func (r *runNode) secret() ([]byte, error) {
+	if r.SecretFile == "" {
+		return []byte(r.Secret), nil
+	}
+	content, err := os.ReadFile(r.SecretFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "--secret-file")
+	}
+	return []byte(strings.TrimSpace(string(content))), nil
+}
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -36,6 +36,7 @@
 func table() []Verb {
 	return []Verb{
 		loadVerb(),
+		nodeVerb(),
 		standinVerb(),
 		versionVerb(),
 	}
