Make requests with an idempotency key run at most once, by claims in the table

Before a non-idempotent request with a key is sent, its entry writes a row under the condition that there is none, in one transaction with other claims of the same moment. Resends find the outcome, or that it isn't known. A claim is never taken over. Ruled out: letting a claim lapse with its node, because a node paused between claim and send would then send a second time.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -3,15 +3,11 @@
 package calls
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 
 	"bergamotloom.example/call"
 )
 
-const tokenBytes = 16
-
 // Calls is the table of running requests. It's safe for many goroutines.
 type Calls struct {
 	mutex sync.RWMutex
@@ -23,15 +19,6 @@
 	return &Calls{table: make(map[string]*call.Call)}
 }
 
-// NewToken returns a fresh random value for a token or an identity: 32 hex
-// digits.
-func NewToken() string {
-	var b [tokenBytes]byte
-	// Read never fails: it ends the process when there is no randomness.
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // Add enters a call that begins to run.
 func (c *Calls) Add(a *call.Call) {
 	c.mutex.Lock()
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,108 @@
+// Package claim holds the row by which a request with an idempotency key runs
+// at most once: who claimed it, and what came of it.
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// keyPrefix is how the keys of the rows begin.
+const keyPrefix = "claims/"
+
+// The states of a claim.
+const (
+	// Running: a node may be sending the request, or died doing so.
+	Running = "Running"
+	// Released: the request certainly didn't run; it may be claimed again.
+	Released = "Released"
+	// Done: the request ran, and its outcome is kept.
+	Done = "Done"
+	// Unsure: the request may have run, and nobody knows its outcome.
+	Unsure = "Unsure"
+)
+
+// Claim is the row of one request. It's a value: the With methods return
+// changed copies.
+type Claim struct {
+	// Key is the row's key and Version its version in the table, 0 before the
+	// first write. They aren't part of the row's value.
+	Key     string `cbor:"-"`
+	Version int64  `cbor:"-"`
+
+	State string
+	// Attempt names the one claim of the node that made it; it's never used
+	// again.
+	Attempt string
+	// Digest is the same only for the same method, path and body.
+	Digest string
+	// MadeMillis is when the claim was made, in milliseconds since 1970.
+	MadeMillis int64
+	// Status, Header and Body are the outcome when the state is Done. A body
+	// that was too long to keep makes the state Unsure instead.
+	Status int         `cbor:",omitempty"`
+	Header http.Header `cbor:",omitempty"`
+	Body   []byte      `cbor:",omitempty"`
+}
+
+// New returns a claim of a request that is about to run.
+func New(team, idempotencyKey, attempt, digest string, nowMillis int64) Claim {
+	return Claim{
+		Key:        RowKey(team, idempotencyKey),
+		State:      Running,
+		Attempt:    attempt,
+		Digest:     digest,
+		MadeMillis: nowMillis,
+	}
+}
+
+// RowKey returns the key of the row for a team's idempotency key. The hash
+// keeps the caller's text out of the table.
+func RowKey(team, idempotencyKey string) string {
+	sum := sha256.Sum256([]byte(team + "\x00" + idempotencyKey))
+	return keyPrefix + hex.EncodeToString(sum[:])
+}
+
+// WithVersion returns the claim as it is in the table at a version.
+func (c Claim) WithVersion(version int64) Claim {
+	c.Version = version
+	return c
+}
+
+// WithState returns the claim in a state without an outcome.
+func (c Claim) WithState(state string) Claim {
+	c.State = state
+	c.Status, c.Header, c.Body = 0, nil, nil
+	return c
+}
+
+// WithOutcome returns the claim of a request that ran and was answered.
+func (c Claim) WithOutcome(status int, header http.Header, body []byte) Claim {
+	c.State = Done
+	c.Status, c.Header, c.Body = status, header, body
+	return c
+}
+
+// Encode returns the row's value.
+func (c Claim) Encode() []byte {
+	value, err := cbor.Marshal(c)
+	if err != nil {
+		// Every field has a CBOR form.
+		panic("claim: a claim has no CBOR form: " + err.Error())
+	}
+	return value
+}
+
+// Decode reads a row.
+func Decode(key string, value []byte, version int64) (Claim, error) {
+	var c Claim
+	if err := cbor.Unmarshal(value, &c); err != nil {
+		return Claim{}, errors.Wrap(err, "claim: malformed row")
+	}
+	c.Key, c.Version = key, version
+	return c, nil
+}
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -9,7 +9,8 @@
 	"net/http"
 	"sync"
 
-	"bergamotloom.example/calls"
+	"bergamotloom.example/ident"
+
 	"bergamotloom.example/choose"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
@@ -193,7 +194,7 @@
 func (s *sending) attempt(ctx context.Context, m member.Member, leftMillis int64) reply.Reply {
 	rest, lent := s.allowance.Split(parties)
 	s.allowance = rest
-	e := s.envelope.WithAttempt(calls.NewToken(), leftMillis, lent.Left())
+	e := s.envelope.WithAttempt(ident.New(), leftMillis, lent.Left())
 	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request())
 	s.allowance = s.allowance.Merge(retry.New(got.Unused))
 	s.learn(got)
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -21,12 +21,15 @@
 	defer got.Close()
 	e.filter.learn(k.route.Name, k.team.Name, got)
 	if !got.Served() {
-		return e.failed(k, got)
+		r, refused := e.failed(k, got)
+		e.endRefused(k, r)
+		return r, refused
 	}
 	h := k.writer.Header()
 	stream.Headers(h, got.Header)
 	k.writer.WriteHeader(got.Status)
-	if err := stream.Copy(k.writer, got.Body); err != nil {
+	err := e.copyAnswer(k, got)
+	if err != nil {
 		e.log.Info("entry: an answer broke off", "Request", k.envelope.Request, "Error", err)
 		metrics.GetOrRegisterCounter("Entry.Broken", e.registry).Inc(1)
 		// Closes the connection without the end of the body, so that the
@@ -35,9 +38,26 @@
 	}
 	stream.Trailers(k.writer, got.Trailer)
 	metrics.GetOrRegisterCounter("Entry.Served", e.registry).Inc(1)
+	k.answered = true
 	return pass()
 }
 
+// copyAnswer streams the body to the caller, and keeps the outcome of a
+// request that was claimed. Such a one is read to its end even when its caller
+// has gone, so that a resend finds the outcome.
+func (e *Entry) copyAnswer(k *work, got reply.Reply) error {
+	if k.claim == nil {
+		return stream.Copy(k.writer, got.Body)
+	}
+	kept := newKeeper(got.Body)
+	err := stream.Copy(k.writer, kept)
+	if err != nil {
+		kept.readOn()
+	}
+	e.endServed(k, got, kept)
+	return err
+}
+
 // send passes the request on, charged to its parent if it has one.
 func (e *Entry) send(k *work) reply.Reply {
 	out := k.in.WithContext(k.context)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,8 @@
 
 	"bergamotloom.example/call"
 	"bergamotloom.example/calls"
+	"bergamotloom.example/claim"
+	"bergamotloom.example/claims"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
 	"bergamotloom.example/dispat"
@@ -35,6 +37,7 @@
 	calls    *calls.Calls
 	dispatch *dispat.Dispatcher
 	rates    rater
+	claims   *claims.Claims
 	filter   *filter
 	registry metrics.Registry
 	log      *slog.Logger
@@ -48,7 +51,7 @@
 
 // New returns an entry. Config returns the configuration in force, or false if
 // the node may not serve by it; service the name of the node's own service.
-func New(c clock.Clock, current func() (*config.Config, bool), service func() string, running *calls.Calls, d *dispat.Dispatcher, rates rater, registry metrics.Registry, log *slog.Logger) *Entry {
+func New(c clock.Clock, current func() (*config.Config, bool), service func() string, running *calls.Calls, d *dispat.Dispatcher, rates rater, made *claims.Claims, registry metrics.Registry, log *slog.Logger) *Entry {
 	return &Entry{
 		clock:    c,
 		config:   current,
@@ -56,6 +59,7 @@
 		calls:    running,
 		dispatch: d,
 		rates:    rates,
+		claims:   made,
 		filter:   newFilter(c),
 		registry: registry,
 		log:      log,
@@ -77,6 +81,13 @@
 	deadline  int64
 	allowance retry.Allowance
 	body      *limited
+	// claim is the row that lets the request run at most once, or nil.
+	claim *claim.Claim
+	// answered says that the response has begun or is complete, so that the
+	// stages after it have nothing to do.
+	answered bool
+	// finally frees what the request still holds at its end.
+	finally func()
 }
 
 // Callers returns the handler of the callers' port.
@@ -97,13 +108,17 @@
 	start := e.clock.Fine()
 	ctx, cancel := context.WithCancel(in.Context())
 	defer cancel()
-	k := &work{in: in, writer: w, context: ctx}
+	k := &work{in: in, writer: w, context: ctx, finally: func() {}}
+	defer func() { k.finally() }()
 	for _, s := range stages {
 		refusal, refused := s.work(e, k)
 		if refused {
 			e.refuse(k, s.name, refusal)
 			break
 		}
+		if k.answered {
+			break
+		}
 	}
 	took := time.Duration((e.clock.Fine() - start) * float64(time.Millisecond))
 	metrics.GetOrRegisterTimer("Entry.Took", e.registry).Update(took)
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -5,9 +5,10 @@
 	"io"
 	"strconv"
 
+	"bergamotloom.example/ident"
+
 	"github.com/cespare/xxhash/v2"
 
-	"bergamotloom.example/calls"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/header"
 	"bergamotloom.example/reason"
@@ -18,7 +19,7 @@
 // the identity of its parent.
 func setIdentity(_ *Entry, k *work) (refuse.Refusal, bool) {
 	e := envel.Envelope{
-		Request:     calls.NewToken(),
+		Request:     ident.New(),
 		Team:        k.team.Name,
 		Weight:      max(k.team.Rate, 1),
 		Route:       k.route.Name,
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -23,6 +23,7 @@
 	{"identity", setIdentity},
 	{"early", refuseEarly},
 	{"rate", takeRate},
+	{"claim", claimRequest},
 	{"allowance", grantAllowance},
 	{"deliver", deliver},
 }
@@ -35,5 +36,6 @@
 	{"deadline", setDeadline},
 	{"identity", setIdentity},
 	{"repeat", chargeRepeat},
+	{"claim", claimRequest},
 	{"deliver", deliver},
 }
--- a/node/join.go
+++ b/node/join.go
@@ -5,10 +5,11 @@
 	"strings"
 	"time"
 
+	"bergamotloom.example/ident"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"bergamotloom.example/calls"
 	"bergamotloom.example/member"
 	"bergamotloom.example/table"
 	"bergamotloom.example/write"
@@ -54,7 +55,7 @@
 		return errors.Wrap(err, "node: encoding the own record")
 	}
 	w := write.Put(memberKeys+self.ID, value, write.AnyVersion)
-	if _, err := r.table.Transact(ctx, calls.NewToken(), []write.Write{w}); err != nil {
+	if _, err := r.table.Transact(ctx, ident.New(), []write.Write{w}); err != nil {
 		return errors.Wrap(err, "node: writing the own record")
 	}
 	rows, err := r.table.Scan(ctx, memberKeys)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"bergamotloom.example/admit"
 	"bergamotloom.example/calls"
 	"bergamotloom.example/choose"
+	"bergamotloom.example/claims"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/dispat"
 	"bergamotloom.example/entry"
@@ -58,6 +59,7 @@
 	store      *inforc.Store
 	spread     *spread.Spreader
 	calls      *calls.Calls
+	claims     *claims.Claims
 	target     *local.Local
 	gate       *admit.Admitter
 	passer     *passer.Passer
@@ -125,9 +127,10 @@
 	})
 	n.rates = rates.New(n.clock, n.quota, n.platform.Table())
 	n.spread = spread.New(n.clock, self.ID, configRows{n.platform.Table()}, n.store, n.gossip, send, n.registry, n.log)
+	n.claims = claims.New(n.clock, n.platform.Table(), n.registry, n.log)
 	chooser := choose.New(n.clock, n.setup.Centre, rand.Uint64())
 	n.dispatcher = dispat.New(n.clock, n.passer, chooser, n.memberGone, n.memberSilent)
-	n.entry = entry.New(n.clock, n.spread.InForce, n.ownService, n.calls, n.dispatcher, n.rates, n.registry, n.log)
+	n.entry = entry.New(n.clock, n.spread.InForce, n.ownService, n.calls, n.dispatcher, n.rates, n.claims, n.registry, n.log)
 	n.runner = runner.New(n.clock, n.gate, n.calls, n.target, n.registry, n.log)
 	made, err := links.New(n.duties, self.ID, secret, n.registry, n.log, n.receive, n.incarnationOf, n.peerGone)
 	n.links = made
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"bergamotloom.example/ident"
+
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -78,7 +80,7 @@
 		r.refuse(w, refusal, e, nil)
 		return
 	}
-	c := call.New(ctx, r.clock, calls.NewToken(), e)
+	c := call.New(ctx, r.clock, ident.New(), e)
 	start := r.clock.Fine()
 	ok := false
 	// The slot is given back even if copying the answer panics.
