--- a/admit/admit.go
+++ b/admit/admit.go
@@ -24,6 +24,7 @@
 type Admitter struct {
 	clock       clock.Clock
 	queueMillis float64
+	teamsFirst  bool
 
 	mutex   sync.Mutex
 	gate    *gate.Gate
@@ -31,9 +32,11 @@
 }
 
 // New returns an admitter that refuses everything until a target opens it.
-// Requests wait up to queueMillis for a slot; 0 takes the gate's default.
-func New(c clock.Clock, queueMillis float64) *Admitter {
-	return &Admitter{clock: c, queueMillis: queueMillis}
+// Requests wait up to queueMillis for a slot; 0 takes the gate's default. With
+// teamsFirst teams get their parts of all ranks below the critical one
+// together, and not within each rank.
+func New(c clock.Clock, queueMillis float64, teamsFirst bool) *Admitter {
+	return &Admitter{clock: c, queueMillis: queueMillis, teamsFirst: teamsFirst}
 }
 
 // pass is a slot that was granted by a gate.
@@ -48,7 +51,7 @@
 func (a *Admitter) Open(slots int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.gate = gate.New(a.clock, slots, a.queueMillis)
+	a.gate = gate.New(a.clock, slots, a.queueMillis, a.teamsFirst)
 	if a.leaving {
 		a.gate.SetLeaving()
 	}
@@ -138,14 +141,14 @@
 }
 
 // Answered returns what goes back with each answer for the team: the admission
-// threshold and the team's part of it.
-func (a *Admitter) Answered(team string) (threshold int, part float64) {
+// threshold and the team's level under it.
+func (a *Admitter) Answered(team string) (threshold, teamLevel int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.gate == nil {
-		return int(level.Full), 1
+		return int(level.Full), int(level.Full)
 	}
-	return int(a.gate.Threshold()), a.gate.Part(team)
+	return int(a.gate.Threshold()), int(a.gate.TeamLevel(team))
 }
 
 // SetSlots takes another number of slots of the same target.
--- a/call/call.go
+++ b/call/call.go
@@ -30,7 +30,7 @@
 	busyFrom  float64
 	busy      float64
 	lowest    int
-	part      float64
+	teamLevel int
 	limited   bool
 	// failed holds the fingerprints of child calls that failed.
 	failed map[string]bool
@@ -105,24 +105,24 @@
 }
 
 // Learn takes what the answer of a child call told of the thresholds in its
-// chain: the lowest one and the part of it that the team gets there.
-func (c *Call) Learn(lowest int, part float64) {
+// chain: the lowest one and the team's level that goes with it.
+func (c *Call) Learn(lowest, teamLevel int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.limited || lowest < c.lowest {
-		c.lowest, c.part, c.limited = lowest, part, true
+		c.lowest, c.teamLevel, c.limited = lowest, teamLevel, true
 	}
 }
 
 // Lowest returns the lowest threshold in the chain from this call down, and
-// the team's part of it, given those of the call's own gate.
-func (c *Call) Lowest(own int, ownPart float64) (lowest int, part float64) {
+// the team's level that goes with it, given those of the call's own gate.
+func (c *Call) Lowest(own, ownTeamLevel int) (lowest, teamLevel int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.limited && c.lowest < own {
-		return c.lowest, c.part
+		return c.lowest, c.teamLevel
 	}
-	return own, ownPart
+	return own, ownTeamLevel
 }
 
 // Unused returns what is left of the call's own allowance when it ends.
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -95,7 +95,7 @@
 		allowance: allowance,
 		body:      newReplay(r),
 		lowest:    reply.NoThreshold,
-		part:      1,
+		teamLevel: reply.NoThreshold,
 	}
 	if !e.Idempotent || !s.body.empty() {
 		// A request that must not run twice, or that has a body, waits for
@@ -165,9 +165,9 @@
 	body      *replay
 	tried     []string
 	// maybe says that an attempt before may have run.
-	maybe  bool
-	lowest int
-	part   float64
+	maybe     bool
+	lowest    int
+	teamLevel int
 }
 
 // run sends the request until it's answered or may not be sent again.
@@ -224,7 +224,7 @@
 		return
 	}
 	if s.lowest == reply.NoThreshold || got.Lowest < s.lowest {
-		s.lowest, s.part = got.Lowest, got.Part
+		s.lowest, s.teamLevel = got.Lowest, got.TeamLevel
 	}
 }
 
@@ -256,7 +256,7 @@
 }
 
 func (s *sending) finish(got reply.Reply) reply.Reply {
-	got.Lowest, got.Part = s.lowest, s.part
+	got.Lowest, got.TeamLevel = s.lowest, s.teamLevel
 	// The last attempt never ran, but one before it may have.
 	if !got.Served() && s.maybe {
 		got.Refusal = got.Refusal.WithRan(runst.Maybe)
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -71,7 +71,7 @@
 	got, unused := e.dispatch.Send(k.context, e.service(), k.route.Service, k.envelope, k.deadline, lent, out)
 	k.parent.EndChild(unused)
 	if got.Lowest != reply.NoThreshold {
-		k.parent.Learn(got.Lowest, got.Part)
+		k.parent.Learn(got.Lowest, got.TeamLevel)
 	}
 	if !got.Served() || got.Status >= http.StatusInternalServerError {
 		k.parent.Failed(k.envelope.Fingerprint)
--- a/entry/early.go
+++ b/entry/early.go
@@ -47,7 +47,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.early.Learn(route, team, level.Level(a.Lowest), a.Part)
+	f.early.Learn(route, team, level.Level(a.Lowest), level.Level(a.TeamLevel))
 }
 
 // grant counts a new request and takes up to n retries from the budget.
--- a/header/forward.go
+++ b/header/forward.go
@@ -12,10 +12,10 @@
 	RetryAfterMillis = "Loom-Retry-After-Millis"
 	// Threshold is the gate's own admission threshold.
 	Threshold = "Loom-Threshold"
-	// Lowest is the lowest threshold in the whole chain, and Part the part of
-	// it that the team gets there, from 0 to 1.
-	Lowest = "Loom-Lowest"
-	Part   = "Loom-Part"
+	// Lowest is the lowest threshold in the whole chain, and TeamLevel the
+	// level of the request's team that goes with it.
+	Lowest    = "Loom-Lowest"
+	TeamLevel = "Loom-Team-Level"
 	// Unused is how much of the lent retry allowance comes back.
 	Unused = "Loom-Unused-Allowance"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 		store:    inforc.New(),
 		calls:    calls.New(),
 		target:   local.New(c),
-		gate:     admit.New(c, s.QueueMillis),
+		gate:     admit.New(c, s.QueueMillis, s.TeamsFirst),
 		passer:   passer.New(c, secret),
 	}
 	// The duties outlive the signal to stop: requests in flight need them.
--- a/passer/passer.go
+++ b/passer/passer.go
@@ -119,7 +119,7 @@
 	got := reply.Reply{
 		Threshold: number(res.Header, header.Threshold, reply.NoThreshold),
 		Lowest:    number(res.Header, header.Lowest, reply.NoThreshold),
-		Part:      fraction(res.Header, header.Part),
+		TeamLevel: number(res.Header, header.TeamLevel, reply.NoThreshold),
 		Unused:    number(res.Header, header.Unused, 0),
 	}
 	if why := res.Header.Get(header.Refused); why != "" {
@@ -183,11 +183,3 @@
 	}
 	return n
 }
-
-func fraction(h http.Header, name string) float64 {
-	f, err := strconv.ParseFloat(h.Get(name), 64)
-	if err != nil {
-		return 1
-	}
-	return f
-}
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -21,11 +21,11 @@
 
 	Refusal refuse.Refusal
 	// Threshold is what the gate said of its own admission, NoThreshold if it
-	// didn't. Lowest is the lowest threshold in the whole chain, and Part the
-	// part of it that the team gets there, from 0 to 1.
+	// didn't. Lowest is the lowest threshold in the whole chain, and TeamLevel
+	// the level of the request's team that goes with it.
 	Threshold int
 	Lowest    int
-	Part      float64
+	TeamLevel int
 	// Unused is how much of the lent retry allowance came back.
 	Unused int
 	// Gone says that the peer refused the connection: its process has ended.
@@ -41,7 +41,7 @@
 
 // Refuse returns the answer of an attempt that was refused.
 func Refuse(r refuse.Refusal) Reply {
-	return Reply{Refusal: r, Threshold: NoThreshold, Lowest: NoThreshold, Part: 1}
+	return Reply{Refusal: r, Threshold: NoThreshold, Lowest: NoThreshold, TeamLevel: NoThreshold}
 }
 
 // Served tells whether the target answered.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -32,6 +32,8 @@
 	DrainMillis int64
 	// QueueMillis is the longest wait at the gate, in milliseconds.
 	QueueMillis float64
+	// TeamsFirst puts fairness between teams before ranks below critical.
+	TeamsFirst bool
 }
 
 // Check returns what is wrong with the settings, naming the setting, its value
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -26,6 +26,7 @@
 	Join       []string      `env:"LOOM_JOIN" help:"Peer addresses to ask at the start."`
 	Drain      time.Duration `default:"10m" env:"LOOM_DRAIN" help:"Longest wait for requests in flight at a planned stop."`
 	Queue      time.Duration `default:"50ms" env:"LOOM_QUEUE" help:"Longest wait at the gate."`
+	TeamsFirst bool          `env:"LOOM_TEAMS_FIRST" help:"Under overload give teams their parts of all ranks below Critical together, not within each rank."`
 }
 
 func nodeVerb() Verb {
@@ -70,6 +71,7 @@
 		Join:        r.Join,
 		DrainMillis: r.Drain.Milliseconds(),
 		QueueMillis: float64(r.Queue.Milliseconds()),
+		TeamsFirst:  r.TeamsFirst,
 	}, err
 }
 
