Add overhead: the time that nodes add, both ways in turn in one run

The two ways take turns at each rate and the connections are opened before the counted part. Ruled out: one way after the other, because the load of a shared machine changes within seconds.

go test -race ./added ./load passes.

--- /dev/null
+++ b/added/added.go
@@ -0,0 +1,161 @@
+// Package added measures the time that nodes add to a request: it asks the
+// same target directly and through nodes, in turn within one run.
+package added
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/cost"
+	"bergamotloom.example/figure"
+	"bergamotloom.example/load"
+	"bergamotloom.example/plan"
+	"bergamotloom.example/proc"
+	"bergamotloom.example/sender"
+	"bergamotloom.example/tally"
+)
+
+const (
+	warmSeconds    = 0.5
+	timeoutMillis  = 5000
+	microsPerMilli = 1000
+	padding        = 2
+)
+
+// Experiment compares two ways to the same target.
+type Experiment struct {
+	// Direct is the target's address, Through the addresses of nodes' caller
+	// ports.
+	Direct  string
+	Through []string
+	// Key, Method and Path make the request.
+	Key    string
+	Method string
+	Path   string
+	// Rates are the arrivals a second to try, one after another. At each one
+	// the two ways take turns, Rounds times for Seconds each.
+	Rates   []float64
+	Rounds  int
+	Seconds float64
+	Seed    uint64
+	// Nodes are the ids of the node processes, for their processor time.
+	Nodes []int
+}
+
+// Run does the whole experiment.
+func (e Experiment) Run(ctx context.Context, c clock.Clock) ([]cost.Cost, error) {
+	costs := make([]cost.Cost, 0, len(e.Rates))
+	for _, rate := range e.Rates {
+		r, err := e.atRate(ctx, c, rate)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, r)
+	}
+	return costs, nil
+}
+
+func (e Experiment) atRate(ctx context.Context, c clock.Clock, rate float64) (cost.Cost, error) {
+	direct, through := tally.New(), tally.New()
+	idleMillis, busyMillis := int64(0), int64(0)
+	for round := range e.Rounds {
+		idle, err := e.turn(ctx, c, rate, round, []string{e.Direct}, direct)
+		if err != nil {
+			return cost.Cost{}, err
+		}
+		busy, err := e.turn(ctx, c, rate, round, e.Through, through)
+		if err != nil {
+			return cost.Cost{}, err
+		}
+		idleMillis += idle
+		busyMillis += busy
+	}
+	r := cost.Cost{Rate: rate, Direct: direct.All(), Through: through.All()}
+	if r.Through.Requests > 0 {
+		r.CPUMicros = float64(busyMillis-idleMillis) * microsPerMilli / float64(r.Through.Requests)
+	}
+	return r, notServed(r)
+}
+
+// notServed makes an error of requests that weren't served: times of the
+// others would say little.
+func notServed(r cost.Cost) error {
+	for _, f := range []figure.Figures{r.Direct, r.Through} {
+		if f.Served < f.Requests {
+			return errors.Errorf("added: %d of %d requests weren't served at %v a second: %v",
+				f.Requests-f.Served, f.Requests, r.Rate, f.Reasons)
+		}
+	}
+	return nil
+}
+
+// turn asks one way for a while and returns the processor time that the nodes
+// used, in milliseconds. A first part opens connections and isn't counted.
+func (e Experiment) turn(
+	ctx context.Context, c clock.Clock, rate float64, round int, addresses []string, t *tally.Tally,
+) (int64, error) {
+	name := fmt.Sprintf("a%d-%v-%d", c.Now(), rate, round)
+	p := plan.New(name, e.Seed+uint64(round)).
+		WithNodes(addresses...).
+		WithTimeout(timeoutMillis).
+		WithTeam("team", e.Key, 1).
+		WithRoute("route", e.Method, e.Path, 1)
+	s := sender.New(timeoutMillis)
+	defer s.Close()
+	load.New(p.WithPhase(warmSeconds, rate), c, s).Run(ctx)
+	before, err := e.cpuMillis()
+	if err != nil {
+		return 0, err
+	}
+	load.New(p.WithRun(name+"m").WithPhase(e.Seconds, rate), c, s).RunInto(ctx, t)
+	after, err := e.cpuMillis()
+	return after - before, err
+}
+
+func (e Experiment) cpuMillis() (int64, error) {
+	total := int64(0)
+	for _, id := range e.Nodes {
+		millis, err := proc.CPUMillis(id)
+		if err != nil {
+			return 0, err
+		}
+		total += millis
+	}
+	return total, nil
+}
+
+// WriteTable writes the results as a table for people.
+func WriteTable(w io.Writer, costs []cost.Cost) error {
+	table := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(table, "Rate\tWay\tServed\tp50 ms\tp99 ms\tp99.9 ms\tCPU us/request")
+	for _, r := range costs {
+		writeRow(table, r.Rate, "direct", r.Direct, "")
+		writeRow(table, r.Rate, "through", r.Through, fmt.Sprintf("%.0f", r.CPUMicros))
+		p50, p99, p999 := r.AddedMillis()
+		fmt.Fprintf(table, "%v\tadded\t\t%.2f\t%.2f\t%.2f\t\n", r.Rate, p50, p99, p999)
+	}
+	return errors.Wrap(table.Flush(), "added: writing the table")
+}
+
+func writeRow(w io.Writer, rate float64, way string, f figure.Figures, cpu string) {
+	fmt.Fprintf(w, "%v\t%s\t%d\t%.2f\t%.2f\t%.2f\t%s\n", rate, way, f.Served, f.P50Millis, f.P99Millis, f.P999Millis, cpu)
+}
+
+// Check says what is wrong with the experiment, if anything is.
+func (e Experiment) Check() error {
+	switch {
+	case e.Direct == "" || len(e.Through) == 0:
+		return errors.New("added: both ways need an address")
+	case e.Method == http.MethodConnect || e.Path == "" || e.Path[0] != '/':
+		return errors.Errorf("added: path is %q: must begin with /", e.Path)
+	case len(e.Rates) == 0 || e.Rounds < 1 || e.Seconds <= 0:
+		return errors.New("added: rates, rounds and seconds must be above 0")
+	}
+	return nil
+}
--- a/load/load.go
+++ b/load/load.go
@@ -32,12 +32,13 @@
 	sends   sync.WaitGroup
 }
 
-// New returns the load of a plan that was checked.
-func New(p plan.Plan, c clock.Clock) *Load {
+// New returns the load of a plan that was checked. The sender may be shared,
+// also by loads that follow, which then find its connections open.
+func New(p plan.Plan, c clock.Clock, s *sender.Sender) *Load {
 	return &Load{
 		plan:    p,
 		clock:   c,
-		sender:  sender.New(p.TimeoutMillis),
+		sender:  s,
 		open:    make(chan struct{}, p.MaxOpen),
 		results: make(chan answer.Answer, resultsSize),
 	}
@@ -46,21 +47,28 @@
 // Run sends the whole plan, waits for the last answer and returns the tally.
 // When ctx ends it sends no more, and open requests end as broken.
 func (l *Load) Run(ctx context.Context) *tally.Tally {
-	done := make(chan *tally.Tally)
-	go func() { done <- l.count() }()
+	t := tally.New()
+	l.RunInto(ctx, t)
+	return t
+}
+
+// RunInto is Run with a tally that may hold answers of earlier loads.
+func (l *Load) RunInto(ctx context.Context, t *tally.Tally) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.count(t)
+	}()
 	l.schedule(ctx)
 	l.sends.Wait()
 	close(l.results)
-	l.sender.Close()
-	return <-done
+	<-done
 }
 
-func (l *Load) count() *tally.Tally {
-	t := tally.New()
+func (l *Load) count(t *tally.Tally) {
 	for a := range l.results {
 		t.Add(a)
 	}
-	return t
 }
 
 // schedule draws the arrivals and starts each at its time.
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -19,6 +19,7 @@
 	"bergamotloom.example/plan"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
+	"bergamotloom.example/sender"
 )
 
 const size = 2000
@@ -35,7 +36,9 @@
 		WithRoute("Book", http.MethodPost, "/book", 1).
 		WithResends(resends, 1)
 	assert.NilError(t, p.Check())
-	return load.New(p, clock.New()).Run(t.Context()).All()
+	s := sender.New(p.TimeoutMillis)
+	defer s.Close()
+	return load.New(p, clock.New(), s).Run(t.Context()).All()
 }
 
 // send answers as a stand-in target does, with the body of another marker and
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -85,6 +85,12 @@
 	return p, nil
 }
 
+// WithRun returns the plan with another name for the run.
+func (p Plan) WithRun(name string) Plan {
+	p.Run = name
+	return p
+}
+
 // WithNodes returns the plan with these nodes.
 func (p Plan) WithNodes(addresses ...string) Plan {
 	p.Nodes = addresses
--- a/verbs/load.go
+++ b/verbs/load.go
@@ -11,6 +11,7 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/load"
 	"bergamotloom.example/plan"
+	"bergamotloom.example/sender"
 )
 
 const runBase = 36
@@ -45,7 +46,9 @@
 	if err != nil {
 		return usageError{err}
 	}
-	tally := load.New(p, clock.New()).Run(s.context)
+	sends := sender.New(p.TimeoutMillis)
+	defer sends.Close()
+	tally := load.New(p, clock.New(), sends).Run(s.context)
 	if l.JSON {
 		err = tally.WriteJSON(s.out)
 	} else {
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -37,6 +37,7 @@
 	return []Verb{
 		loadVerb(),
 		nodeVerb(),
+		overheadVerb(),
 		standinVerb(),
 		versionVerb(),
 	}
