--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -38,6 +38,7 @@
 		benchVerb(),
 		loadVerb(),
 		nodeVerb(),
+		overheadVerb(),
 		standinVerb(),
 		versionVerb(),
 	}
