--- a/call/call.go
+++ b/call/call.go
@@ -109,7 +109,7 @@
 func (c *Call) Learn(lowest, teamLevel int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.limited || lowest < c.lowest {
+	if !c.limited || teamLevel < c.teamLevel {
 		c.lowest, c.teamLevel, c.limited = lowest, teamLevel, true
 	}
 }
@@ -119,7 +119,7 @@
 func (c *Call) Lowest(own, ownTeamLevel int) (lowest, teamLevel int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.limited && c.lowest < own {
+	if c.limited && c.teamLevel < ownTeamLevel {
 		return c.lowest, c.teamLevel
 	}
 	return own, ownTeamLevel
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -223,7 +223,7 @@
 	if got.Lowest == reply.NoThreshold {
 		return
 	}
-	if s.lowest == reply.NoThreshold || got.Lowest < s.lowest {
+	if s.lowest == reply.NoThreshold || got.TeamLevel < s.teamLevel {
 		s.lowest, s.teamLevel = got.Lowest, got.TeamLevel
 	}
 }
