--- a/node/handle.go
+++ b/node/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
@@ -64,9 +65,17 @@
 	e.GET("/loom/health", n.health)
 	e.GET("/loom/state", n.state)
 	e.GET("/loom/metrics", n.metrics)
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/:kind", servePprof)
 	return e
 }
 
+// servePprof gives one of the runtime's profiles, as heap or goroutine.
+func servePprof(c echo.Context) error {
+	pprof.Handler(c.Param("kind")).ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
 // health answers 200 when the node serves, and 503 with the reason otherwise.
 func (n *Node) health(c echo.Context) error {
 	if _, ok := n.spread.InForce(); !ok {
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -71,10 +71,24 @@
 	if err != nil {
 		return report(logs, "", usageError{err})
 	}
-	s := &session{context: ctx, out: out, log: slog.New(slog.NewTextHandler(logs, nil))}
+	s := &session{context: ctx, out: out, log: newLogger(logs)}
 	return report(logs, chosen.Command(), chosen.Run(s))
 }
 
+// newLogger writes logs as lines of key=value pairs.
+func newLogger(logs io.Writer) *slog.Logger {
+	return slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{ReplaceAttr: shortenError}))
+}
+
+// shortenError logs an error's message without the stack that pkg/errors
+// keeps, as a log line is a short sentence.
+func shortenError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
+
 func newParser(out, logs io.Writer) (*kong.Kong, error) {
 	options := []kong.Option{
 		kong.Name("bergamotloom"),
