Keep the configuration in the table, each change in one transaction

Cause: two operators change the folder at one moment, reads may be older and answers get lost; accepted must mean accepted, once, and refused must be true.

A change and a refusal are both conditional on the version they were checked against; the audit line is the marker by which a lost answer is settled. Ruled out: refusing on what was read without a condition, which an older read made untrue (told 2 after 3 in the histories).

The prefix of a hash is sha256- because flow mappings split at a colon.

--- /dev/null
+++ b/edit/edit.go
@@ -0,0 +1,67 @@
+// Package edit holds what an operator wants to change.
+package edit
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"bergamotloom.example/diag"
+	"bergamotloom.example/shasum"
+)
+
+// Edit is the difference between an operator's folder and what it was made
+// from. It's a value.
+type Edit struct {
+	// Token names the attempt; each has its own.
+	Token string
+	Who   string
+	// Contents holds new and changed files by name, Removed names the others.
+	Contents map[string][]byte
+	Removed  []string
+	// Bases holds the digests of the changed and removed files that the edit
+	// was made from; a new file has none.
+	Bases map[string]string
+	// Problems are those of the folder itself; the edit is refused for them.
+	Problems []diag.Diagnostic
+}
+
+// WithProblems returns the edit with problems of its folder.
+func (e Edit) WithProblems(problems []diag.Diagnostic) Edit {
+	e.Problems = problems
+	return e
+}
+
+// Empty tells whether there is nothing to change.
+func (e Edit) Empty() bool {
+	return len(e.Contents) == 0 && len(e.Removed) == 0
+}
+
+// Changed returns the names of the new and changed files in order.
+func (e Edit) Changed() []string {
+	return slices.Sorted(maps.Keys(e.Contents))
+}
+
+// Without returns the edit without one file.
+func (e Edit) Without(name string) Edit {
+	e.Contents = maps.Clone(e.Contents)
+	delete(e.Contents, name)
+	e.Removed = slices.DeleteFunc(slices.Clone(e.Removed), func(n string) bool { return n == name })
+	return e
+}
+
+// Digest names what the edit changes, whoever makes it.
+func (e Edit) Digest() string {
+	var text strings.Builder
+	for _, name := range e.Changed() {
+		fmt.Fprintf(&text, "changed %s %s\n", name, shasum.Of(e.Contents[name]))
+	}
+	for _, name := range slices.Sorted(slices.Values(e.Removed)) {
+		fmt.Fprintf(&text, "removed %s\n", name)
+	}
+	for _, p := range e.Problems {
+		fmt.Fprintf(&text, "problem %s\n", p)
+	}
+	return shasum.Of([]byte(text.String()))
+}
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -22,6 +22,8 @@
 	// LoseAnswers is how many of the next writes take effect, but have their
 	// answers lost.
 	LoseAnswers int
+	// ForgetTokens makes repeated transactions look like new ones.
+	ForgetTokens bool
 	// WritesPerSecond and ReadsPerSecond limit the calls; calls above them are
 	// refused without effect. 0 means no limit.
 	WritesPerSecond int
@@ -63,6 +65,12 @@
 	return f
 }
 
+// WithForgetTokens returns the switches with tokens forgotten or not.
+func (f Faults) WithForgetTokens(on bool) Faults {
+	f.ForgetTokens = on
+	return f
+}
+
 // WithLimits returns the switches with other limits, in calls a second.
 func (f Faults) WithLimits(writes, reads int) Faults {
 	f.WritesPerSecond = writes
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	hashPrefix = "sha256:"
+	hashPrefix = "sha256-"
 	keyPrefix  = "loom_"
 	keyBytes   = 32
 )
--- a/loader/reader.go
+++ b/loader/reader.go
@@ -63,8 +63,8 @@
 		return nil
 	}
 	tokens := lexer.Tokenize(string(content))
-	if deep, ok := tooDeep(tokens); ok {
-		r.report(r.place(deep), "not YAML of this configuration: nested too deeply")
+	if at, why := untaken(tokens); at != nil {
+		r.report(r.place(at), "%s", why)
 		return nil
 	}
 	tree, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
@@ -86,9 +86,9 @@
 	return top
 }
 
-// tooDeep finds the first token of a nesting that no configuration needs. The
-// parser's time grows with the square of the depth.
-func tooDeep(tokens token.Tokens) (*token.Token, bool) {
+// untaken finds the first token of what no configuration needs: deep nesting,
+// with whose square the parser's time grows, and YAML's rarer features.
+func untaken(tokens token.Tokens) (*token.Token, string) {
 	depth := 0
 	for _, t := range tokens {
 		switch t.Type {
@@ -96,13 +96,15 @@
 			depth++
 		case token.SequenceEndType, token.MappingEndType:
 			depth--
+		case token.AnchorType, token.AliasType, token.TagType, token.MergeKeyType, token.MappingKeyType:
+			return t, "anchors, aliases, tags, merges and complex keys aren't taken"
 		}
 		entryTooDeep := t.Type == token.SequenceEntryType && t.Position.Column > maxEntryColumn
-		if depth > maxFlowDepth || entryTooDeep || t.Type == token.MappingKeyType {
-			return t, true
+		if depth > maxFlowDepth || entryTooDeep {
+			return t, "nested too deeply"
 		}
 	}
-	return nil, false
+	return nil, ""
 }
 
 func (r *reader) reportSyntax(err error) {
--- a/plat/tables.go
+++ b/plat/tables.go
@@ -137,7 +137,7 @@
 }
 
 func (p *Platform) transact(token string, writes []write.Write) bool {
-	if applied, seen := p.outcomes.applied[token]; seen {
+	if applied, seen := p.outcomes.applied[token]; seen && !p.faults.ForgetTokens {
 		return applied
 	}
 	applied := p.holds(writes)
--- /dev/null
+++ b/snap/snap.go
@@ -0,0 +1,51 @@
+// Package snap holds the whole configuration as it was read from the table.
+package snap
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"bergamotloom.example/change"
+	"bergamotloom.example/shasum"
+	"bergamotloom.example/stored"
+)
+
+// Snapshot is one version with its files, removed ones included.
+type Snapshot struct {
+	Version int64
+	// RowVersion is that of the table's row that names the version in force;
+	// a change is accepted only while it's the same.
+	RowVersion int64
+	Who        string
+	When       string
+	Files      map[string]stored.File
+}
+
+// Contents returns the contents of the files that aren't removed.
+func (s Snapshot) Contents() map[string][]byte {
+	contents := make(map[string][]byte, len(s.Files))
+	for name, f := range s.Files {
+		if !f.Removed {
+			contents[name] = f.Content
+		}
+	}
+	return contents
+}
+
+// Change returns the snapshot as a change that holds the whole version.
+func (s Snapshot) Change() change.Change {
+	return change.Change{Version: s.Version, Whole: true, Contents: s.Contents()}
+}
+
+// Digest names the version with the state of every file, so that a mix of two
+// versions is noticed.
+func (s Snapshot) Digest() string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(s.Files)) {
+		f := s.Files[name]
+		fmt.Fprintf(&text, "%s %d %t %s\n", name, f.Version, f.Removed, f.Digest)
+	}
+	return shasum.Of([]byte(text.String()))
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,195 @@
+// Package store keeps the configuration in the platform's table.
+//
+// Rows are JSON, in Pascal case:
+//
+//	config/current       the version in force and the digest of its files
+//	files/NAME           a file with its content and its last change
+//	changes/VERSION      the encoded change, for nodes that miss it
+//	audit/VERSION        the audit line of an accepted change
+//	audit/VERSION-TIME-TOKEN  that of one refused when VERSION was in force
+//
+// A change is one transaction that is conditional on config/current, so that
+// accepted changes form a line, each checked against the one before it.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/audit"
+	"bergamotloom.example/change"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/record"
+	"bergamotloom.example/snap"
+	"bergamotloom.example/stored"
+	"bergamotloom.example/table"
+)
+
+const (
+	currentKey    = "config/current"
+	filesPrefix   = "files/"
+	changesPrefix = "changes/"
+
+	// changesKept is how many changes the table keeps for nodes; who misses
+	// more reads the whole version.
+	changesKept    = 1000
+	microsPerMilli = 1000
+	// rereadPause is the wait before reading again.
+	rereadPause = 50 * time.Millisecond
+)
+
+var errMixed = errors.New("store: the table answered with a mix of versions")
+
+// Store reads and changes the configuration in the table. It's safe for many
+// goroutines at once.
+type Store struct {
+	table table.Table
+	clock clock.Clock
+}
+
+// New returns a store on the platform's table.
+func New(t table.Table, c clock.Clock) *Store {
+	return &Store{table: t, clock: c}
+}
+
+// current is the row that names the version in force.
+type current struct {
+	Version int64
+	Digest  string
+	Who     string
+	When    string
+}
+
+// Version returns the version in force, 0 before the first change. A table
+// that answers with an older read gives an older version.
+func (s *Store) Version(ctx context.Context) (int64, error) {
+	row, ok, err := s.table.Get(ctx, currentKey)
+	if err != nil || !ok {
+		return 0, errors.Wrap(err, "store: reading the version")
+	}
+	c, err := parse[current](row)
+	return c.Version, err
+}
+
+// Change returns an accepted change, or false if the table has it no longer or
+// not yet; then Read gives the whole version.
+func (s *Store) Change(ctx context.Context, version int64) (change.Change, bool, error) {
+	row, ok, err := s.table.Get(ctx, changeKey(version))
+	if err != nil || !ok {
+		return change.Change{}, false, errors.Wrap(err, "store: reading a change")
+	}
+	c, err := change.Decode(row.Value)
+	return c, err == nil, errors.Wrap(err, "store")
+}
+
+// Read returns the version in force with its files. It reads again while it
+// meets a change halfway, until ctx ends.
+func (s *Store) Read(ctx context.Context) (snap.Snapshot, error) {
+	for {
+		read, err := s.readOnce(ctx)
+		if !errors.Is(err, errMixed) || !pause(ctx) {
+			return read, err
+		}
+	}
+}
+
+func (s *Store) readOnce(ctx context.Context) (snap.Snapshot, error) {
+	rows, err := s.table.Scan(ctx, filesPrefix)
+	if err != nil {
+		return snap.Snapshot{}, errors.Wrap(err, "store: reading the files")
+	}
+	row, ok, err := s.table.Get(ctx, currentKey)
+	if err != nil {
+		return snap.Snapshot{}, errors.Wrap(err, "store: reading the version")
+	}
+	read := snap.Snapshot{Files: make(map[string]stored.File, len(rows))}
+	for _, r := range rows {
+		f, err := parse[stored.File](r)
+		if err != nil {
+			return snap.Snapshot{}, err
+		}
+		read.Files[f.Name] = f
+	}
+	return withCurrent(read, row, ok)
+}
+
+// withCurrent joins files and version, if they belong together.
+func withCurrent(read snap.Snapshot, row record.Record, ok bool) (snap.Snapshot, error) {
+	if !ok {
+		if len(read.Files) > 0 {
+			return snap.Snapshot{}, errMixed
+		}
+		return read, nil
+	}
+	c, err := parse[current](row)
+	if err != nil {
+		return snap.Snapshot{}, err
+	}
+	if c.Digest != read.Digest() {
+		return snap.Snapshot{}, errMixed
+	}
+	read.Version = c.Version
+	read.RowVersion = row.Version
+	read.Who = c.Who
+	read.When = c.When
+	return read, nil
+}
+
+// Audit returns the whole trail, oldest first.
+func (s *Store) Audit(ctx context.Context) ([]audit.Line, error) {
+	rows, err := s.table.Scan(ctx, audit.Prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "store: reading the audit trail")
+	}
+	lines := make([]audit.Line, 0, len(rows))
+	for _, r := range rows {
+		l, err := parse[audit.Line](r)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, l)
+	}
+	return lines, nil
+}
+
+func parse[V any](row record.Record) (V, error) {
+	var value V
+	err := json.Unmarshal(row.Value, &value)
+	return value, errors.Wrapf(err, "store: row %s", row.Key)
+}
+
+func fileKey(name string) string {
+	return filesPrefix + name
+}
+
+func changeKey(version int64) string {
+	return fmt.Sprintf("%s%012d", changesPrefix, version)
+}
+
+// when returns the time as the rows write it.
+func (s *Store) when() string {
+	micros := int64(s.clock.Fine() * microsPerMilli)
+	return time.UnixMicro(micros).UTC().Format("2006-01-02T15:04:05.000000Z")
+}
+
+// pause waits before the next attempt, and returns false if ctx ended.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(rereadPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// oneLine keeps an operator's name from breaking the trail's lines.
+func oneLine(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
