Add the commands check, apply, fetch, show, audit and key new, and examples

Cause: operators drive the system by folders; the loader and the table need their commands, and a newcomer needs two folders to begin with.

The folder's dot file holds what each file was made from, so that a removed file is noticed and another's change isn't overwritten. fetch is there because who was refused for a conflict needs the other's file; without it the way out was to copy by hand. Cases are folders with commands and expected output.

--- /dev/null
+++ b/verbs/cases_test.go
@@ -0,0 +1,112 @@
+package verbs_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/faults"
+	"bergamotloom.example/plat"
+	"bergamotloom.example/verbs"
+)
+
+// runCase is one folder of testdata/cases while it runs in a copy.
+type runCase struct {
+	dir       string
+	variables *strings.Replacer
+	out       bytes.Buffer
+}
+
+var changing = []struct {
+	pattern *regexp.Regexp
+	stands  string
+}{
+	{regexp.MustCompile(`20\d\d-\d\d-\d\dT[\d:.]+Z`), "<time>"},
+	{regexp.MustCompile(`http://127\.0\.0\.1:\d+`), "<platform>"},
+	{regexp.MustCompile(`node 127\.0\.0\.1:\d{2,}`), "node <node>"},
+}
+
+// TestCases runs each folder's commands against a platform of its own, and
+// compares what they print with the folder's expected output.
+func TestCases(t *testing.T) {
+	cases, err := filepath.Glob("testdata/cases/*/cmd")
+	assert.NilError(t, err)
+	assert.Assert(t, len(cases) > 0)
+	root, err := filepath.Abs("..")
+	assert.NilError(t, err)
+	for _, c := range cases {
+		name := filepath.Base(filepath.Dir(c))
+		t.Run(name, func(t *testing.T) {
+			r := newRunCase(t, filepath.Dir(c), root)
+			commands, err := os.ReadFile(c)
+			assert.NilError(t, err)
+			t.Chdir(r.dir)
+			for line := range strings.Lines(string(commands)) {
+				r.run(t, strings.TrimSpace(line))
+			}
+			t.Chdir(filepath.Join(root, "verbs"))
+			golden.Assert(t, r.text(), filepath.Join("cases", name, "expected"))
+		})
+	}
+}
+
+func newRunCase(t *testing.T, from, root string) *runCase {
+	t.Helper()
+	dir := t.TempDir()
+	assert.NilError(t, os.CopyFS(dir, os.DirFS(from)))
+	platform := httptest.NewServer(plat.New(clock.New(), faults.New()).Handler())
+	t.Cleanup(platform.Close)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"Version":1}`)
+	}))
+	t.Cleanup(node.Close)
+	t.Setenv("LOOM_PLATFORM", platform.URL)
+	t.Setenv("LOOM_WHO", "tester")
+	return &runCase{dir: dir, variables: strings.NewReplacer(
+		"$PLATFORM", platform.URL, "$NODE", node.Listener.Addr().String(), "$ROOT", root)}
+}
+
+func (r *runCase) run(t *testing.T, line string) {
+	t.Helper()
+	fmt.Fprintf(&r.out, "$ %s\n", line)
+	words := strings.Fields(r.variables.Replace(line))
+	switch words[0] {
+	case "#":
+	case "rm":
+		assert.NilError(t, os.Remove(words[1]))
+	case "cp":
+		content, err := os.ReadFile(words[1])
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(words[2], content, 0o600))
+	case "ls":
+		entries, err := os.ReadDir(words[1])
+		assert.NilError(t, err)
+		for _, e := range entries {
+			fmt.Fprintln(&r.out, e.Name())
+		}
+	case "bergamotloom":
+		if code := verbs.Main(t.Context(), words[1:], &r.out, &r.out); code != 0 {
+			fmt.Fprintf(&r.out, "exit %d\n", code)
+		}
+	default:
+		t.Fatalf("unknown command %q", line)
+	}
+}
+
+func (r *runCase) text() string {
+	text := r.out.String()
+	for _, c := range changing {
+		text = c.pattern.ReplaceAllString(text, c.stands)
+	}
+	return text
+}
--- /dev/null
+++ b/verbs/fetch.go
@@ -0,0 +1,60 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/folder"
+)
+
+// fetch brings a folder up to the version in force.
+type fetch struct {
+	Dir string `arg:"" help:"Folder of configuration files."`
+	platformFlags
+	Timeout time.Duration `default:"10s" help:"Longest time for the whole command."`
+}
+
+func fetchVerb() Verb {
+	return Verb{
+		Name:    "fetch",
+		Help:    "Bring a folder up to the version in force, keeping what was edited.",
+		Command: &fetch{},
+	}
+}
+
+// Run prints which files were updated, and fails if some were changed on both
+// sides.
+func (h *fetch) Run(s *session) error {
+	f, _, err := folder.Read(h.Dir)
+	if err != nil {
+		return usageError{err}
+	}
+	configuration, done, err := h.open()
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(s.context, h.Timeout)
+	defer cancel()
+	read, err := configuration.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if read.Version < f.Version() {
+		return errors.Errorf("the table answered with version %d, but the folder has met %d: try again", read.Version, f.Version())
+	}
+	updated, clashing, err := f.Fetch(read)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "version %d: updated %s\n", read.Version, listOr(updated, "nothing"))
+	if len(clashing) > 0 {
+		return errors.Errorf("changed on both sides: %s; compare each with its .NAME.theirs, then apply yours over it",
+			strings.Join(clashing, ", "))
+	}
+	return nil
+}
--- /dev/null
+++ b/verbs/nodes.go
@@ -0,0 +1,101 @@
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	nodeTimeout    = time.Second
+	nodePoll       = 100 * time.Millisecond
+	nodesAtOnce    = 32
+	nodeStatePath  = "/loom/state"
+	unknownVersion = -1
+)
+
+// nodeState is what one node says of the version in force there.
+type nodeState struct {
+	address string
+	version int64
+	err     error
+}
+
+// String returns the state for people.
+func (n nodeState) String() string {
+	if n.err != nil {
+		return fmt.Sprintf("node %s: not known (%v)", n.address, n.err)
+	}
+	return fmt.Sprintf("node %s: version %d", n.address, n.version)
+}
+
+// readNodes asks all nodes at their operators' ports for their version.
+func readNodes(ctx context.Context, addresses []string) []nodeState {
+	states := make([]nodeState, len(addresses))
+	group := &errgroup.Group{}
+	group.SetLimit(nodesAtOnce)
+	for i, a := range addresses {
+		group.Go(func() error {
+			version, err := readNode(ctx, a)
+			states[i] = nodeState{address: a, version: version, err: err}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return states
+}
+
+func readNode(ctx context.Context, address string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+nodeStatePath, nil)
+	if err != nil {
+		return unknownVersion, errors.New("not an address")
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return unknownVersion, errors.New("no answer")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var state struct{ Version int64 }
+	if err := json.NewDecoder(answer.Body).Decode(&state); err != nil || answer.StatusCode != http.StatusOK {
+		return unknownVersion, errors.Errorf("status %d", answer.StatusCode)
+	}
+	return state.Version, nil
+}
+
+// awaitNodes waits until the version, or a newer one, is in force at all nodes
+// or ctx ends, and returns the nodes where it isn't.
+func awaitNodes(ctx context.Context, addresses []string, version int64) []nodeState {
+	for {
+		late := slices.DeleteFunc(readNodes(ctx, addresses), func(n nodeState) bool {
+			return n.err == nil && n.version >= version
+		})
+		if len(late) == 0 || !sleep(ctx, nodePoll) {
+			return late
+		}
+	}
+}
+
+// sleep pauses, and returns false if ctx ended.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func sortedNames(contents map[string][]byte) []string {
+	return slices.Sorted(maps.Keys(contents))
+}
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -35,9 +36,15 @@
 // table lists every command in the order that the help shows.
 func table() []Verb {
 	return []Verb{
+		nodeVerb(),
+		checkVerb(),
+		applyVerb(),
+		fetchVerb(),
+		showVerb(),
+		auditVerb(),
+		keyVerb(),
 		benchVerb(),
 		loadVerb(),
-		nodeVerb(),
 		overheadVerb(),
 		standinVerb(),
 		versionVerb(),
@@ -72,7 +79,14 @@
 		return report(logs, "", usageError{err})
 	}
 	s := &session{context: ctx, out: out, log: slog.New(slog.NewTextHandler(logs, nil))}
-	return report(logs, chosen.Command(), chosen.Run(s))
+	return report(logs, commandName(chosen.Command()), chosen.Run(s))
+}
+
+// commandName drops the arguments' places from a command as kong writes it,
+// such as "check <dir>".
+func commandName(command string) string {
+	name, _, _ := strings.Cut(command, " <")
+	return name
 }
 
 func newParser(out, logs io.Writer) (*kong.Kong, error) {
