Find a prefix route by its path's parts instead of trying them all

A map by what the path begins with, asked from the longest part on. Parts longer than any route's are cut first, so that a path of many slashes costs no more.

--- a/config/config.go
+++ b/config/config.go
@@ -21,7 +21,10 @@
 	services map[string]servc.Service
 	keys     map[string]string
 	exact    map[string]route.Route
-	prefixes []route.Route
+	// prefixes are by what their paths begin with, "/" included; longest is
+	// the length of the longest of these, in bytes.
+	prefixes map[string]route.Route
+	longest  int
 }
 
 // New builds a configuration. Version counts accepted changes from 1; version
@@ -33,6 +36,7 @@
 		services: make(map[string]servc.Service, len(services)),
 		keys:     make(map[string]string),
 		exact:    make(map[string]route.Route),
+		prefixes: make(map[string]route.Route),
 	}
 	for _, t := range teams {
 		c.addTeam(t)
@@ -43,10 +47,6 @@
 	for _, r := range routes {
 		c.addRoute(r)
 	}
-	// The longest prefix comes first, so that the first match is the longest.
-	sort.Slice(c.prefixes, func(i, j int) bool {
-		return len(c.prefixes[i].Match) > len(c.prefixes[j].Match)
-	})
 	return c
 }
 
@@ -59,7 +59,9 @@
 
 func (c *Config) addRoute(r route.Route) {
 	if strings.HasSuffix(r.Match, prefixMark) {
-		c.prefixes = append(c.prefixes, r)
+		stem := strings.TrimSuffix(r.Match, "*")
+		c.prefixes[stem] = r
+		c.longest = max(c.longest, len(stem))
 		return
 	}
 	c.exact[r.Match] = r
@@ -76,9 +78,9 @@
 	if r, ok := c.exact[path]; ok {
 		return r, true
 	}
-	for _, r := range c.prefixes {
-		stem := strings.TrimSuffix(r.Match, "*")
-		if strings.HasPrefix(path, stem) {
+	path = path[:min(len(path), c.longest)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := c.prefixes[path[:end+1]]; ok {
 			return r, true
 		}
 	}
@@ -132,7 +134,9 @@
 	for _, r := range c.exact {
 		all = append(all, r)
 	}
-	all = append(all, c.prefixes...)
+	for _, r := range c.prefixes {
+		all = append(all, r)
+	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
 	return all
 }
