--- a/audit/audit.go
+++ b/audit/audit.go
@@ -4,13 +4,25 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"bergamotloom.example/shasum"
 )
 
-// Prefix is what the keys of all lines begin with in the table.
-const Prefix = "audit/"
+const prefix = "audit/"
+
+// Block returns the prefix of the keys of all lines of a block of versions.
+// Size is a power of ten and first a multiple of it.
+func Block(first, size int64) string {
+	zeros := len(strconv.FormatInt(size, 10)) - 1
+	key := versionKey(first)
+	return key[:len(key)-zeros]
+}
+
+func versionKey(version int64) string {
+	return fmt.Sprintf("%s%012d", prefix, version)
+}
 
 // Line is one change, accepted or refused. It's a value.
 type Line struct {
@@ -42,9 +54,9 @@
 // and refused ones after the version that they were checked against.
 func (l Line) Key() string {
 	if l.Refused == "" {
-		return fmt.Sprintf("%s%012d", Prefix, l.After)
+		return versionKey(l.After)
 	}
-	return fmt.Sprintf("%s%012d-%s-%s", Prefix, l.Before, l.When, l.Token)
+	return fmt.Sprintf("%s-%s-%s", versionKey(l.Before), l.When, l.Token)
 }
 
 // String returns the line for people.
--- a/store/store.go
+++ b/store/store.go
@@ -37,7 +37,10 @@
 
 	// changesKept is how many changes the table keeps for nodes; who misses
 	// more reads the whole version.
-	changesKept    = 1000
+	changesKept = 1000
+	// auditBlock is how many versions' audit lines are read at once.
+	auditBlock = 1000
+
 	microsPerMilli = 1000
 	// rereadPause is the wait before reading again.
 	rereadPause = 50 * time.Millisecond
@@ -147,19 +150,28 @@
 	return read, nil
 }
 
-// Audit returns the whole trail, oldest first.
-func (s *Store) Audit(ctx context.Context) ([]audit.Line, error) {
-	rows, err := s.table.Scan(ctx, audit.Prefix)
+// Audit returns the trail from a version on, oldest first. It reads blocks of
+// auditBlock versions, so that the latest lines cost no read of all others.
+func (s *Store) Audit(ctx context.Context, from int64) ([]audit.Line, error) {
+	last, err := s.Version(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "store: reading the audit trail")
+		return nil, err
 	}
-	lines := make([]audit.Line, 0, len(rows))
-	for _, r := range rows {
-		l, err := parse[audit.Line](r)
+	var lines []audit.Line
+	for block := max(from, 0) / auditBlock; block <= last/auditBlock; block++ {
+		rows, err := s.table.Scan(ctx, audit.Block(block*auditBlock, auditBlock))
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "store: reading the audit trail")
+		}
+		for _, r := range rows {
+			l, err := parse[audit.Line](r)
+			if err != nil {
+				return nil, err
+			}
+			if max(l.Before, l.After) >= from {
+				lines = append(lines, l)
+			}
 		}
-		lines = append(lines, l)
 	}
 	return lines, nil
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -207,7 +207,7 @@
 func (w *world) check(t *testing.T) {
 	t.Helper()
 	ctx := t.Context()
-	lines, err := w.store.Audit(ctx)
+	lines, err := w.store.Audit(ctx, 0)
 	assert.NilError(t, err)
 	byToken := make(map[string]audit.Line)
 	versions := int64(0)
@@ -291,6 +291,9 @@
 			assert.Assert(t, r.Accepted)
 			base = shasum.Of(content)
 		}
+		lines, err := w.store.Audit(t.Context(), 999)
+		assert.NilError(t, err)
+		assert.Equal(t, len(lines), 5)
 		_, ok, err := w.store.Change(t.Context(), 3)
 		assert.NilError(t, err)
 		assert.Assert(t, !ok)
--- a/verbs/audit.go
+++ b/verbs/audit.go
@@ -11,6 +11,7 @@
 // auditTrail prints who changed or tried to change the configuration.
 type auditTrail struct {
 	platformFlags
+	Last    int64         `default:"1000" help:"How many of the latest versions the lines are about."`
 	Timeout time.Duration `default:"10s" help:"Longest time for the whole command."`
 }
 
@@ -22,6 +23,14 @@
 	}
 }
 
+// Validate refuses settings that can't be meant; kong calls it.
+func (a *auditTrail) Validate() error {
+	if a.Last < 1 {
+		return errors.Errorf("--last=%d: must be at least 1", a.Last)
+	}
+	return nil
+}
+
 // Run prints one line for each change.
 func (a *auditTrail) Run(s *session) error {
 	configuration, done, err := a.open()
@@ -31,7 +40,11 @@
 	defer done()
 	ctx, cancel := context.WithTimeout(s.context, a.Timeout)
 	defer cancel()
-	lines, err := configuration.Audit(ctx)
+	version, err := configuration.Version(ctx)
+	if err != nil {
+		return err
+	}
+	lines, err := configuration.Audit(ctx, version-a.Last+1)
 	if err != nil {
 		return err
 	}
