--- a/verbs/cases_test.go
+++ b/verbs/cases_test.go
@@ -31,6 +31,8 @@
 	pattern *regexp.Regexp
 	stands  string
 }{
+	{regexp.MustCompile(`loom_[\w-]{43}`), "<key>"},
+	{regexp.MustCompile(`Hash: sha256-[0-9a-f]+`), "Hash: <hash>"},
 	{regexp.MustCompile(`20\d\d-\d\d-\d\dT[\d:.]+Z`), "<time>"},
 	{regexp.MustCompile(`http://127\.0\.0\.1:\d+`), "<platform>"},
 	{regexp.MustCompile(`node 127\.0\.0\.1:\d{2,}`), "node <node>"},
@@ -47,7 +49,7 @@
 	for _, c := range cases {
 		name := filepath.Base(filepath.Dir(c))
 		t.Run(name, func(t *testing.T) {
-			r := newRunCase(t, filepath.Dir(c), root)
+			r := newRunCase(t, filepath.Dir(c), ".", root)
 			commands, err := os.ReadFile(c)
 			assert.NilError(t, err)
 			t.Chdir(r.dir)
@@ -60,10 +62,12 @@
 	}
 }
 
-func newRunCase(t *testing.T, from, root string) *runCase {
+// newRunCase starts a platform and a node's operators' port that always tells
+// version 1, and copies the folder from into the run's one.
+func newRunCase(t *testing.T, from, into, root string) *runCase {
 	t.Helper()
 	dir := t.TempDir()
-	assert.NilError(t, os.CopyFS(dir, os.DirFS(from)))
+	assert.NilError(t, os.CopyFS(filepath.Join(dir, into), os.DirFS(from)))
 	platform := httptest.NewServer(plat.New(clock.New(), faults.New()).Handler())
 	t.Cleanup(platform.Close)
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -88,6 +92,17 @@
 		content, err := os.ReadFile(words[1])
 		assert.NilError(t, err)
 		assert.NilError(t, os.WriteFile(words[2], content, 0o600))
+	case "echo":
+		content, file, ok := strings.Cut(strings.TrimPrefix(line, "echo "), " > ")
+		assert.Assert(t, ok, line)
+		content = strings.Trim(content, "'") + "\n"
+		assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
+	case "mkdir":
+		assert.NilError(t, os.Mkdir(words[1], 0o700))
+	case "cat":
+		content, err := os.ReadFile(words[1])
+		assert.NilError(t, err)
+		r.out.Write(content)
 	case "ls":
 		entries, err := os.ReadDir(words[1])
 		assert.NilError(t, err)
