--- /dev/null
+++ b/verbs/audit.go
@@ -0,0 +1,57 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// auditTrail prints who changed or tried to change the configuration.
+type auditTrail struct {
+	platformFlags
+	Last    int64         `default:"1000" help:"How many of the latest versions the lines are about."`
+	Timeout time.Duration `default:"10s" help:"Longest time for the whole command."`
+}
+
+func auditVerb() Verb {
+	return Verb{
+		Name:    "audit",
+		Help:    "Print the trail of changes, accepted and refused, oldest first.",
+		Command: &auditTrail{},
+	}
+}
+
+// Validate refuses settings that can't be meant; kong calls it.
+func (a *auditTrail) Validate() error {
+	if a.Last < 1 {
+		return errors.Errorf("--last=%d: must be at least 1", a.Last)
+	}
+	return nil
+}
+
+// Run prints one line for each change.
+func (a *auditTrail) Run(s *session) error {
+	configuration, done, err := a.open()
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(s.context, a.Timeout)
+	defer cancel()
+	version, err := configuration.Version(ctx)
+	if err != nil {
+		return err
+	}
+	lines, err := configuration.Audit(ctx, version-a.Last+1)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(s.out, l); err != nil {
+			return errors.Wrap(err, "printing the trail")
+		}
+	}
+	return nil
+}
