--- a/gossip/entry.go
+++ b/gossip/entry.go
@@ -51,6 +51,8 @@
 	dropped bool
 	member  member.Member
 	fact    fact
+	// pushes counts the rounds in which the entry was pushed.
+	pushes int
 	// changedAt is when the node learned this version.
 	changedAt int64
 	// heardAt is when a life sign of the member last came.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -54,7 +54,9 @@
 	fingers []string
 	words   map[string]string
 
+	// fresh holds the entries to be pushed, again those for the next round.
 	fresh  []*entry
+	again  []*entry
 	recent []*entry
 	seen   map[uint64]int64
 	asked  map[uint64]int64
--- a/gossip/spread.go
+++ b/gossip/spread.go
@@ -3,8 +3,10 @@
 import "slices"
 
 const (
-	// pushCount is the number of peers that a new entry is pushed to.
-	pushCount = 5
+	// pushCount is the number of peers that a new entry is pushed to at once,
+	// and pushRounds how many times that is done.
+	pushCount  = 4
+	pushRounds = 2
 	// backlog is how many new entries make the node push to fewer peers;
 	// comparisons mend what that misses.
 	backlog          = 64
@@ -79,6 +81,9 @@
 
 // push sends new entries to a few random peers, as one batch.
 func (g *Gossip) push() {
+	if len(g.fresh) == 0 {
+		g.fresh, g.again = g.again, nil
+	}
 	if len(g.fresh) == 0 {
 		return
 	}
@@ -100,6 +105,10 @@
 			continue
 		}
 		size += g.pushOne(&m, e)
+		e.pushes++
+		if e.pushes < pushRounds {
+			g.again = append(g.again, e)
+		}
 	}
 	if size > 0 {
 		g.post(m, peers...)
