Let one route's answers open and close a service for all routes

Now an answer names the service that restricts its chain, and the filter keeps thresholds by service and the services of each route. Ruled out: a faster opening by time (it leaks the lowest rank into a deep service that is still slow).

API: early.Learn takes the service's name, so answers carry it.

--- a/bench/call.go
+++ b/bench/call.go
@@ -36,14 +36,15 @@
 	rest  retry.Allowance
 }
 
-// levels is a gate's threshold with the level of the request's team.
+// levels is a gate's threshold with the level of the request's team there.
 type levels struct {
+	service   string
 	threshold level.Level
 	team      level.Level
 }
 
 // unrestricted is told by what has no gate.
-var unrestricted = levels{level.Full, level.Full}
+var unrestricted = levels{threshold: level.Full, team: level.Full}
 
 // lower returns the levels that restrict the team more.
 func (l levels) lower(other levels) levels {
@@ -293,7 +294,7 @@
 // end sends the answer.
 func (j *job) end(ok bool, ran runst.State) {
 	g, team := j.node.gate, j.node.world.size.teams[j.order.team].name
-	own := levels{g.Threshold(), g.TeamLevel(team)}
+	own := levels{j.node.member.Service, g.Threshold(), g.TeamLevel(team)}
 	j.reply(answer{ok: ok, ran: ran, own: own.threshold, chain: j.chain.lower(own), rest: j.allowed})
 }
 
--- a/early/early.go
+++ b/early/early.go
@@ -3,34 +3,40 @@
 package early
 
 import (
+	"slices"
+
 	"bergamotloom.example/clock"
 	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
 )
 
 const (
-	// learnShare is how far one answer moves what is known of its route.
+	// learnShare is how far one answer moves what is known of a service.
 	learnShare = 0.3
-	// reopenStepsPerMilli is how fast a route opens while no answer tells
-	// otherwise, in steps of a level. It makes the probes after an overload.
+	// reopenStepsPerMilli is how fast a service opens while no answer tells of
+	// it, in steps of a level. It makes the probes after an overload.
 	reopenStepsPerMilli = 0.5
 	// reopenAfterMillis is how old the last answer must be for that.
 	reopenAfterMillis = 100
-	// full is the open value of a route's threshold.
+	// full is the open value of a threshold.
 	full = float64(level.Full)
 )
 
-// Filter decides at one entry which new requests go on. It doesn't lock: the
-// node holds a mutex for it.
+// Filter decides at one entry which new requests go on. Each answer names the
+// service that restricts its chain the most, so that what one route's answers
+// tell of a deep service counts for all routes that lead through it. It
+// doesn't lock: the node holds a mutex for it.
 type Filter struct {
-	clock  clock.Clock
-	routes map[string]*known
-	below  map[teamRoute]*known
+	clock clock.Clock
+	// routes holds the services that restricted each route.
+	routes   map[string][]string
+	services map[string]*known
+	below    map[teamService]*known
 }
 
-type teamRoute struct {
-	route string
-	team  string
+type teamService struct {
+	service string
+	team    string
 }
 
 // known is one learned figure and the time when an answer last told of it.
@@ -42,9 +48,10 @@
 // New returns a filter that lets everything pass until answers tell otherwise.
 func New(c clock.Clock) *Filter {
 	return &Filter{
-		clock:  c,
-		routes: map[string]*known{},
-		below:  map[teamRoute]*known{},
+		clock:    c,
+		routes:   map[string][]string{},
+		services: map[string]*known{},
+		below:    map[teamService]*known{},
 	}
 }
 
@@ -53,50 +60,67 @@
 // and whether this one does.
 func (f *Filter) Passes(route, team string, r rank.Rank, mark float64) (float64, bool) {
 	now := f.clock.Fine()
-	steps := f.routeLevel(route, now) - f.teamBelow(teamRoute{route, team}, now)
+	steps := full
+	for _, s := range f.routes[route] {
+		steps = min(steps, f.steps(s, team, now))
+	}
 	share := level.Level(steps).Share(r)
 	return share, mark < share
 }
 
-// Learn takes what an answer told: the lowest threshold in its chain, and the
-// level of the request's team that goes with it. The threshold is shared by
-// all teams; how far a team stays below it is learned from its own answers.
-func (f *Filter) Learn(route, team string, threshold, teamLevel level.Level) {
+func (f *Filter) steps(service, team string, now float64) float64 {
+	steps := f.services[service].current(now, full)
+	if k, ok := f.below[teamService{service, team}]; ok {
+		steps -= k.current(now, 0)
+	}
+	return steps
+}
+
+// Learn takes what an answer told: the service whose gate has the lowest
+// threshold in the chain, that threshold, and the level of the request's team
+// there. How far a team stays below the threshold is learned from its own
+// answers only. The service doesn't matter when the threshold is Full.
+func (f *Filter) Learn(route, team, service string, threshold, teamLevel level.Level) {
 	now := f.clock.Fine()
-	if k := entry(f.routes, route, threshold < level.Full, full, now); k != nil {
-		k.learn(float64(threshold), now, full)
+	if min(threshold, teamLevel) < level.Full {
+		f.note(route, service, now)
 	}
-	below := float64(threshold - teamLevel)
-	if k := entry(f.below, teamRoute{route, team}, below > 0, 0, now); k != nil {
-		k.learn(below, now, 0)
+	for _, s := range f.routes[route] {
+		f.learn(s, team, s == service, threshold, teamLevel, now)
 	}
 }
 
-// entry returns what is known under the key. It makes a new entry, which
-// stands at the open value, only when there's something to know.
-func entry[K comparable](all map[K]*known, key K, needed bool, open, now float64) *known {
-	k, ok := all[key]
-	if !ok && needed {
-		k = &known{value: open, at: now}
-		all[key] = k
+// note remembers that the service restricts the route.
+func (f *Filter) note(route, service string, now float64) {
+	if _, ok := f.services[service]; !ok {
+		f.services[service] = &known{value: full, at: now}
+	}
+	if !slices.Contains(f.routes[route], service) {
+		f.routes[route] = append(f.routes[route], service)
 	}
-	return k
 }
 
-func (f *Filter) routeLevel(route string, now float64) float64 {
-	k, ok := f.routes[route]
-	if !ok {
-		return full
+// learn moves what is known of one service. The others of the chain are at
+// least as open as the named one.
+func (f *Filter) learn(service, team string, named bool, threshold, teamLevel level.Level, now float64) {
+	k := f.services[service]
+	if !named && k.value >= float64(threshold) {
+		return
 	}
-	return k.current(now, full)
+	k.learn(float64(threshold), now, full)
+	f.learnBelow(teamService{service, team}, float64(threshold-teamLevel), now)
 }
 
-func (f *Filter) teamBelow(key teamRoute, now float64) float64 {
+func (f *Filter) learnBelow(key teamService, below, now float64) {
 	k, ok := f.below[key]
+	if !ok && below <= 0 {
+		return
+	}
 	if !ok {
-		return 0
+		k = &known{at: now}
+		f.below[key] = k
 	}
-	return k.current(now, 0)
+	k.learn(below, now, 0)
 }
 
 // current returns the figure, moved towards its open value by the time without
--- a/early/early_test.go
+++ b/early/early_test.go
@@ -15,8 +15,8 @@
 	c, advance := clock.NewManual(0)
 	f := early.New(c)
 	for range 30 {
-		f.Learn("browse", "a", level.New(rank.Normal, 0.5), level.New(rank.Normal, 0.5))
-		f.Learn("browse", "b", level.New(rank.Normal, 0.5), level.New(rank.Normal, 0.25))
+		f.Learn("browse", "a", "stock", level.New(rank.Normal, 0.5), level.New(rank.Normal, 0.5))
+		f.Learn("browse", "b", "stock", level.New(rank.Normal, 0.5), level.New(rank.Normal, 0.25))
 	}
 	_, ok := f.Passes("browse", "a", rank.Critical, 0.999)
 	assert.Assert(t, ok)
@@ -32,3 +32,21 @@
 	_, ok = f.Passes("browse", "b", rank.Sheddable, 0.999)
 	assert.Assert(t, ok)
 }
+
+func TestOneRouteLearnsForAllThroughTheService(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	f := early.New(c)
+	closed := level.New(rank.Critical, 0.5)
+	f.Learn("pay", "a", "ledger", closed, closed)
+	f.Learn("browse", "a", "ledger", closed, closed)
+	for range 30 {
+		f.Learn("pay", "a", "ledger", closed, closed)
+	}
+	_, ok := f.Passes("browse", "a", rank.Sheddable, 0)
+	assert.Assert(t, !ok)
+	for range 30 {
+		f.Learn("pay", "a", "", level.Full, level.Full)
+	}
+	_, ok = f.Passes("browse", "a", rank.Sheddable, 0.9)
+	assert.Assert(t, ok)
+}
