--- a/bench/scene.go
+++ b/bench/scene.go
@@ -88,3 +88,11 @@
 func (s scene) during(now float64) bool {
 	return now >= warmMillis && now < s.endMillis()
 }
+
+// near tells whether a request with this timeout, sent before the cause, may
+// meet it, or whether things still settle after it.
+func (s scene) near(sent, timeout float64) bool {
+	before := sent < warmMillis && sent+timeout >= warmMillis
+	after := sent >= s.endMillis() && sent < s.endMillis()+settleMillis
+	return before || after
+}
--- a/gate/plan.go
+++ b/gate/plan.go
@@ -107,7 +107,7 @@
 	for _, u := range s.teams {
 		u.asked = 0
 		for r := t.first; r <= t.last; r++ {
-			u.asked += u.demand[r]
+			u.asked += u.counts[r].usual
 		}
 		total += u.asked
 	}
@@ -163,10 +163,10 @@
 // tier pass, the more important ranks first.
 func (t tier) level(u *share, left float64) level.Level {
 	for r := t.first; r <= t.last; r++ {
-		if u.demand[r] > left {
-			return level.New(r, left/u.demand[r])
+		if u.counts[r].usual > left {
+			return level.New(r, left/u.counts[r].usual)
 		}
-		left -= u.demand[r]
+		left -= u.counts[r].usual
 	}
 	return level.New(t.last, 1)
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -1,23 +1,14 @@
 package gate
 
 import (
-	"math"
-
 	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
 	"bergamotloom.example/ticket"
 )
 
-const (
-	// demandShare is how far one window moves the known demand of a team, and
-	// demandFast when it's off by more than noise standard deviations.
-	demandShare = 0.12
-	demandFast  = 0.5
-	noise       = 2.5
-	// forgetBelow is the demand, in requests a window, under which a team
-	// without queued requests is forgotten.
-	forgetBelow = 0.001
-)
+// forgetBelow is the demand, in requests a window, under which a team without
+// queued requests is forgotten.
+const forgetBelow = 0.001
 
 // shares keeps what is known of each team: its use, which decides who goes
 // next in the queue, and its demand and level, which decide what entries let
@@ -31,10 +22,8 @@
 	weight float64
 	tag    float64
 	queued int
-	// window and demand count requests of each rank, in the window under way
-	// and in a usual one.
-	window [rank.Count]float64
-	demand [rank.Count]float64
+	// counts holds the demand of each rank.
+	counts [rank.Count]count
 	// given is what the plan gives the team of a window, asked what it asks
 	// for in the tier that the plan looks at.
 	given float64
@@ -60,7 +49,7 @@
 }
 
 func (s *shares) arrived(t *ticket.Ticket) {
-	s.of(t).window[t.Rank] += t.Demand()
+	s.of(t).counts[t.Rank].add(t.Demand())
 }
 
 // nextTag returns the fair tag that the ticket would get in the queue: what
@@ -103,23 +92,12 @@
 func (s *shares) learn() {
 	for name, u := range s.teams {
 		total := 0.0
-		for r := range u.demand {
-			u.demand[r] = followCount(u.demand[r], u.window[r])
-			total += u.demand[r]
+		for r := range u.counts {
+			u.counts[r].learn()
+			total += u.counts[r].usual
 		}
-		u.window = [rank.Count]float64{}
 		if total < forgetBelow && u.queued == 0 {
 			delete(s.teams, name)
 		}
 	}
 }
-
-// followCount returns the known count moved towards a new one: slowly through
-// the noise of random arrivals, fast after a change.
-func followCount(known, seen float64) float64 {
-	step := demandShare
-	if math.Abs(seen-known) > noise*math.Sqrt(known+1) {
-		step = demandFast
-	}
-	return known + (seen-known)*step
-}
