--- a/gate/count.go
+++ b/gate/count.go
@@ -3,9 +3,11 @@
 import "math"
 
 const (
-	// calmCount is how far one window moves a count, and fastCount when it's
-	// off by more than noise standard deviations.
-	calmCount = 0.12
+	// calmTotal is how far one window moves the count of all teams, calmTeam
+	// that of one team, and fastCount either when it's off by more than noise
+	// standard deviations.
+	calmTotal = 0.12
+	calmTeam  = 0.04
 	fastCount = 0.5
 	noise     = 2.5
 )
@@ -26,10 +28,10 @@
 	c.squares += standsFor * standsFor
 }
 
-// learn closes the window. It follows slowly through the noise of random
-// arrivals and fast after a change.
-func (c *count) learn() {
-	step := calmCount
+// learn closes the window. It follows by the calm step through the noise of
+// random arrivals and fast after a change.
+func (c *count) learn(calm float64) {
+	step := calm
 	deviation := math.Sqrt(max(c.spread, c.squares, 1))
 	if math.Abs(c.sum-c.usual) > noise*deviation {
 		step = fastCount
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,6 +4,8 @@
 package gate
 
 import (
+	"math"
+
 	"bergamotloom.example/clock"
 	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
@@ -20,6 +22,8 @@
 	// childQueues is how many times longer the queue may be for calls of
 	// requests that were admitted elsewhere: work was spent on them already.
 	childQueues = 4
+	// criticalQueues is the same for the critical rank.
+	criticalQueues = 2
 	// startPart is the part of the slots that a new target begins with.
 	startPart = 0.25
 	// retryAfterMillis is what a refused caller is told to wait.
@@ -40,7 +44,10 @@
 	limit   limiter
 	meter   meter
 	plan    plan
-	took    float64
+	// took and tookSpread are the mean time in a slot and its mean deviation,
+	// in milliseconds.
+	took       float64
+	tookSpread float64
 	// queueMillis is the longest wait that the queue is made for.
 	queueMillis float64
 }
@@ -204,6 +211,9 @@
 	if t.Child {
 		wait *= childQueues
 	}
+	if t.Rank == rank.Critical {
+		wait *= criticalQueues
+	}
 	if g.took <= 0 {
 		return leastQueue
 	}
@@ -239,20 +249,24 @@
 	}
 }
 
-// tooLate tells whether the target can't answer before the deadline.
+// tooLate tells whether the target isn't expected to answer before the
+// deadline. While other requests wait for the slot, most of the usual times
+// must fit in; otherwise a short one is enough.
 func (g *Gate) tooLate(t *ticket.Ticket, now float64) bool {
-	return now+g.took*leastTookPart > float64(t.DeadlineMillis)
+	need := g.took - 2*g.tookSpread
+	if g.queue.len() > 0 {
+		need = g.took + g.tookSpread
+	}
+	return now+max(need, 0) > float64(t.DeadlineMillis)
 }
 
-// leastTookPart is the part of the usual time that a request needs at least.
-const leastTookPart = 0.5
-
 func (g *Gate) learnTook(millis float64) {
 	if g.took == 0 {
 		g.took = millis
 		return
 	}
 	g.took += (millis - g.took) * tookShare
+	g.tookSpread += (math.Abs(millis-g.took) - g.tookSpread) * tookShare
 }
 
 // judge closes the window when it's over.
--- a/gate/limiter.go
+++ b/gate/limiter.go
@@ -9,10 +9,10 @@
 	// target before the limit is doubted.
 	slowFactor = 2
 	// trialPart is the part of the limit that a trial leaves.
-	trialPart = 0.7
+	trialPart = 0.8
 	// helpedPart is the part of the earlier time that a trial must reach for
 	// the lower limit to stay.
-	helpedPart = 0.85
+	helpedPart = 0.9
 	// baseDrift lets the base follow a target that got slower for good, by
 	// this part in each judgement.
 	baseDrift = 0.01
--- a/gate/line.go
+++ b/gate/line.go
@@ -8,7 +8,7 @@
 }
 
 func newLine(slots int) line {
-	return line{heap: make([]*ticket.Ticket, 0, childQueues*max(slots, leastQueue))}
+	return line{heap: make([]*ticket.Ticket, 0, childQueues*criticalQueues*max(slots, leastQueue))}
 }
 
 // before tells whether a ticket with this tag goes before another one.
--- a/gate/plan.go
+++ b/gate/plan.go
@@ -92,6 +92,10 @@
 	}
 	for _, t := range p.tiers {
 		asked := t.ask(s)
+		if t.last == rank.Critical {
+			// A backlog of lesser ranks must not close the critical one.
+			left = max(left, min(asked, p.capacity))
+		}
 		if asked > left {
 			p.threshold = t.restrict(left, s)
 			return
@@ -107,7 +111,7 @@
 	for _, u := range s.teams {
 		u.asked = 0
 		for r := t.first; r <= t.last; r++ {
-			u.asked += u.counts[r].usual
+			u.asked += u.demand[r]
 		}
 		total += u.asked
 	}
@@ -163,10 +167,10 @@
 // tier pass, the more important ranks first.
 func (t tier) level(u *share, left float64) level.Level {
 	for r := t.first; r <= t.last; r++ {
-		if u.counts[r].usual > left {
-			return level.New(r, left/u.counts[r].usual)
+		if u.demand[r] > left {
+			return level.New(r, left/u.demand[r])
 		}
-		left -= u.counts[r].usual
+		left -= u.demand[r]
 	}
 	return level.New(t.last, 1)
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -15,6 +15,7 @@
 // pass.
 type shares struct {
 	teams   map[string]*share
+	totals  [rank.Count]count
 	virtual float64
 }
 
@@ -22,8 +23,10 @@
 	weight float64
 	tag    float64
 	queued int
-	// counts holds the demand of each rank.
+	// counts holds what the team asked for of each rank, demand what that
+	// comes to of the demand of all teams.
 	counts [rank.Count]count
+	demand [rank.Count]float64
 	// given is what the plan gives the team of a window, asked what it asks
 	// for in the tier that the plan looks at.
 	given float64
@@ -49,6 +52,7 @@
 }
 
 func (s *shares) arrived(t *ticket.Ticket) {
+	s.totals[t.Rank].add(t.Demand())
 	s.of(t).counts[t.Rank].add(t.Demand())
 }
 
@@ -88,16 +92,45 @@
 	return u.level
 }
 
-// learn takes the demand of the window that is over.
+// learn takes the demand of the window that is over. The total of a rank is
+// known best; the teams' own counts only divide it.
 func (s *shares) learn() {
 	for name, u := range s.teams {
-		total := 0.0
-		for r := range u.counts {
-			u.counts[r].learn()
-			total += u.counts[r].usual
-		}
-		if total < forgetBelow && u.queued == 0 {
+		u.learn()
+		if u.idle() {
 			delete(s.teams, name)
 		}
 	}
+	for r := range s.totals {
+		s.totals[r].learn(calmTotal)
+		s.spread(r)
+	}
+}
+
+// spread divides the total of a rank among the teams.
+func (s *shares) spread(r int) {
+	sum := 0.0
+	for _, u := range s.teams {
+		sum += u.counts[r].usual
+	}
+	for _, u := range s.teams {
+		u.demand[r] = 0
+		if sum > 0 {
+			u.demand[r] = s.totals[r].usual * u.counts[r].usual / sum
+		}
+	}
+}
+
+func (u *share) learn() {
+	for r := range u.counts {
+		u.counts[r].learn(calmTeam)
+	}
+}
+
+func (u *share) idle() bool {
+	total := 0.0
+	for _, c := range u.counts {
+		total += c.usual
+	}
+	return total < forgetBelow && u.queued == 0
 }
