--- a/gate/plan.go
+++ b/gate/plan.go
@@ -92,6 +92,10 @@
 	}
 	for _, t := range p.tiers {
 		asked := t.ask(s)
+		if t.last == rank.Critical {
+			// A backlog of lesser ranks must not close the critical one.
+			left = max(left, min(asked, p.capacity))
+		}
 		if asked > left {
 			p.threshold = t.restrict(left, s)
 			return
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -1,29 +1,21 @@
 package gate
 
 import (
-	"math"
-
 	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
 	"bergamotloom.example/ticket"
 )
 
-const (
-	// demandShare is how far one window moves the known demand of a team, and
-	// demandFast when it's off by more than noise standard deviations.
-	demandShare = 0.12
-	demandFast  = 0.5
-	noise       = 2.5
-	// forgetBelow is the demand, in requests a window, under which a team
-	// without queued requests is forgotten.
-	forgetBelow = 0.001
-)
+// forgetBelow is the demand, in requests a window, under which a team without
+// queued requests is forgotten.
+const forgetBelow = 0.001
 
 // shares keeps what is known of each team: its use, which decides who goes
 // next in the queue, and its demand and level, which decide what entries let
 // pass.
 type shares struct {
 	teams   map[string]*share
+	totals  [rank.Count]count
 	virtual float64
 }
 
@@ -31,9 +23,9 @@
 	weight float64
 	tag    float64
 	queued int
-	// window and demand count requests of each rank, in the window under way
-	// and in a usual one.
-	window [rank.Count]float64
+	// counts holds what the team asked for of each rank, demand what that
+	// comes to of the demand of all teams.
+	counts [rank.Count]count
 	demand [rank.Count]float64
 	// given is what the plan gives the team of a window, asked what it asks
 	// for in the tier that the plan looks at.
@@ -60,7 +52,8 @@
 }
 
 func (s *shares) arrived(t *ticket.Ticket) {
-	s.of(t).window[t.Rank] += t.Demand()
+	s.totals[t.Rank].add(t.Demand())
+	s.of(t).counts[t.Rank].add(t.Demand())
 }
 
 // nextTag returns the fair tag that the ticket would get in the queue: what
@@ -99,27 +92,45 @@
 	return u.level
 }
 
-// learn takes the demand of the window that is over.
+// learn takes the demand of the window that is over. The total of a rank is
+// known best; the teams' own counts only divide it.
 func (s *shares) learn() {
 	for name, u := range s.teams {
-		total := 0.0
-		for r := range u.demand {
-			u.demand[r] = followCount(u.demand[r], u.window[r])
-			total += u.demand[r]
-		}
-		u.window = [rank.Count]float64{}
-		if total < forgetBelow && u.queued == 0 {
+		u.learn()
+		if u.idle() {
 			delete(s.teams, name)
 		}
 	}
+	for r := range s.totals {
+		s.totals[r].learn(calmTotal)
+		s.spread(r)
+	}
+}
+
+// spread divides the total of a rank among the teams.
+func (s *shares) spread(r int) {
+	sum := 0.0
+	for _, u := range s.teams {
+		sum += u.counts[r].usual
+	}
+	for _, u := range s.teams {
+		u.demand[r] = 0
+		if sum > 0 {
+			u.demand[r] = s.totals[r].usual * u.counts[r].usual / sum
+		}
+	}
+}
+
+func (u *share) learn() {
+	for r := range u.counts {
+		u.counts[r].learn(calmTeam)
+	}
 }
 
-// followCount returns the known count moved towards a new one: slowly through
-// the noise of random arrivals, fast after a change.
-func followCount(known, seen float64) float64 {
-	step := demandShare
-	if math.Abs(seen-known) > noise*math.Sqrt(known+1) {
-		step = demandFast
+func (u *share) idle() bool {
+	total := 0.0
+	for _, c := range u.counts {
+		total += c.usual
 	}
-	return known + (seen-known)*step
+	return total < forgetBelow && u.queued == 0
 }
