--- a/added/added_test.go
+++ b/added/added_test.go
@@ -28,7 +28,7 @@
 	first.WorkMillis = workMillis
 	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // test
 	assert.NilError(t, err)
-	made := target.New("stock", "", first, 1, clock.New(), runlog.New(nil), slog.New(slog.DiscardHandler), os.Exit)
+	made := target.New("stock", "", "", first, 1, clock.New(), runlog.New(nil), slog.New(slog.DiscardHandler), os.Exit)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- made.Serve(ctx, listener) }()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"bergamotloom.example/inst"
 	"bergamotloom.example/layout"
 	"bergamotloom.example/proc"
+	"bergamotloom.example/relay"
 	"bergamotloom.example/runlog"
 	"bergamotloom.example/runrec"
 )
@@ -54,9 +55,28 @@
 			}
 		}
 	}
+	if err := f.startRelays(); err != nil {
+		return f, err
+	}
 	return f, f.startInstances(ctx)
 }
 
+func (f *Fleet) startRelays() error {
+	if !f.layout.Relayed {
+		return nil
+	}
+	for _, in := range f.Instances {
+		var err error
+		if in.PeerRelay, err = relay.New(in.Host+anyPort, ""); err != nil {
+			return err
+		}
+		if in.TargetRelay, err = relay.New(in.Host+anyPort, ""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startInstances starts one node and then all others at once, which join it.
 func (f *Fleet) startInstances(ctx context.Context) error {
 	failed := make([]error, len(f.Instances))
@@ -124,6 +144,9 @@
 		"--centre", in.Centre,
 		"--region", f.layout.Region,
 	}
+	if in.PeerRelay != nil {
+		args = append(args, "--advertise", in.PeerRelay.Address())
+	}
 	if join := f.joinAddresses(in); len(join) > 0 {
 		args = append(args, "--join", strings.Join(join, ","))
 	}
@@ -137,6 +160,9 @@
 		return errors.Wrapf(err, "fleet: reading the addresses of %s", in.Name)
 	}
 	in.Callers, in.Local, in.Peers, in.Operators = p.Callers, p.Local, p.Peers, p.Operators
+	if in.PeerRelay != nil {
+		in.PeerRelay.Forward(in.Peers)
+	}
 	return nil
 }
 
@@ -147,16 +173,15 @@
 	return host + anyPort
 }
 
-// joinAddresses names the first nodes that were started, other than this one.
+// joinAddresses names the first node, which was started before all others, or
+// for that one the second, if it's back after an end.
 func (f *Fleet) joinAddresses(in *inst.Instance) []string {
-	const enough = 2
-	var join []string
-	for _, other := range f.Instances[:min(enough, len(f.Instances))] {
+	for _, other := range f.Instances[:min(2, len(f.Instances))] {
 		if other != in && other.Peers != "" {
-			join = append(join, other.Peers)
+			return []string{other.Reached()}
 		}
 	}
-	return join
+	return nil
 }
 
 // StartTarget starts the instance's target, on the address that an earlier
@@ -169,6 +194,9 @@
 		"--service", in.Service,
 		"--record", in.Record,
 	}
+	if in.TargetRelay != nil {
+		args = append(args, "--announce", in.TargetRelay.Address())
+	}
 	for _, s := range f.layout.Services {
 		if s.Name == in.Service {
 			args = append(args, s.TargetArgs...)
@@ -180,6 +208,9 @@
 	}
 	in.Target = target
 	in.Served = target.Line()
+	if in.TargetRelay != nil {
+		in.TargetRelay.Forward(in.Served)
+	}
 	return nil
 }
 
@@ -188,6 +219,8 @@
 	for _, in := range f.Instances {
 		end(in.Target)
 		end(in.Node)
+		closeRelay(in.PeerRelay)
+		closeRelay(in.TargetRelay)
 	}
 	end(f.Platform)
 }
@@ -198,6 +231,12 @@
 	}
 }
 
+func closeRelay(r *relay.Relay) {
+	if r != nil {
+		r.Close()
+	}
+}
+
 // Of returns the instances of one service.
 func (f *Fleet) Of(service string) []*inst.Instance {
 	var found []*inst.Instance
--- /dev/null
+++ b/fleet/main_test.go
@@ -0,0 +1,150 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/fleet"
+	"bergamotloom.example/header"
+	"bergamotloom.example/keys"
+	"bergamotloom.example/layout"
+	"bergamotloom.example/load"
+	"bergamotloom.example/plan"
+	"bergamotloom.example/proc"
+	"bergamotloom.example/remote"
+	"bergamotloom.example/sender"
+	"bergamotloom.example/tally"
+	"bergamotloom.example/write"
+)
+
+const (
+	key       = "loom_test-key"
+	readyTime = 15 * time.Second
+	files     = `Teams:
+  - {Name: Lakes, Rate: 100000, Burst: 100000, Keys: ["HASH"]}
+Services:
+  - {Name: stock, Slots: 50}
+Routes:
+  - {Name: Stock, Match: /stock/*, Service: stock, Rank: Critical, Idempotent: true, Timeout: 60s, Retries: 2}
+  - {Name: Book, Match: /book/*, Service: stock, Rank: Critical, Timeout: 60s, Retries: 2}
+`
+)
+
+// binary is the program, built once for all tests of the package.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	if binary, err = proc.Build(context.Background(), directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// start runs a fleet with the test's configuration in force everywhere.
+func start(t *testing.T, l layout.Layout) *fleet.Fleet {
+	t.Helper()
+	f, err := fleet.Start(t.Context(), binary, t.TempDir(), l)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, in := range f.Instances {
+				if in.Node != nil {
+					t.Logf("log of %s:\n%s", in.Name, in.Node.LogTail())
+				}
+			}
+		}
+		f.Close()
+	})
+	assert.NilError(t, err)
+	configure(t, f, strings.ReplaceAll(files, "HASH", keys.Hash(key)))
+	waitReady(t, f)
+	return f
+}
+
+func configure(t *testing.T, f *fleet.Fleet, content string) {
+	t.Helper()
+	platform, err := remote.New(f.Platform.Line(), time.Second)
+	assert.NilError(t, err)
+	defer platform.Close()
+	applied, err := platform.Table().Transact(t.Context(), "first", []write.Write{
+		write.Put("config/current", []byte("1"), 0),
+		write.Put("files/a.yaml", []byte(content), 0),
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, applied)
+}
+
+// waitReady waits until each node serves a request and knows all instances.
+func waitReady(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, in := range f.Instances {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			state := get(t, in.Operators, "/loom/state")
+			ready := strings.Count(state, `"Ready": true`) - 1
+			if ready < len(f.Instances) {
+				return poll.Continue("%s sees %d instances", in.Name, ready)
+			}
+			if got := get(t, in.Callers, "/stock/ready?bytes=0"); got != "" {
+				return poll.Continue("%s answers %q", in.Name, got)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(readyTime), poll.WithDelay(20*time.Millisecond))
+	}
+}
+
+// get returns the body of an answer, or what went wrong.
+func get(t *testing.T, address, path string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, http.NoBody)
+	assert.NilError(t, err)
+	request.Header.Set(header.Authorization, "Bearer "+key)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// ask returns a plan of requests to these nodes.
+func ask(t *testing.T, rate, seconds float64, nodes ...string) plan.Plan {
+	t.Helper()
+	return plan.New(t.Name()+strconv.FormatInt(time.Now().UnixNano(), 36), 1).
+		WithNodes(nodes...).
+		WithTeam("Lakes", key, 1).
+		WithPhase(seconds, rate)
+}
+
+// send sends a checked plan.
+func send(t *testing.T, p plan.Plan) *tally.Tally {
+	t.Helper()
+	assert.NilError(t, p.Check())
+	s := sender.New(p.TimeoutMillis)
+	defer s.Close()
+	return load.New(p, clock.New(), s).Run(t.Context())
+}
--- a/inst/inst.go
+++ b/inst/inst.go
@@ -2,7 +2,10 @@
 // target beside it.
 package inst
 
-import "bergamotloom.example/proc"
+import (
+	"bergamotloom.example/proc"
+	"bergamotloom.example/relay"
+)
 
 // Instance is a node and its target on one loopback address.
 type Instance struct {
@@ -20,6 +23,18 @@
 	Peers     string
 	Operators string
 	Served    string
+	// PeerRelay and TargetRelay stand before the peer port and the target, in
+	// a layout with relays.
+	PeerRelay   *relay.Relay
+	TargetRelay *relay.Relay
 	// Record is the file of the target's runs, over all its lives.
 	Record string
 }
+
+// Reached returns the address under which peers reach the node.
+func (i *Instance) Reached() string {
+	if i.PeerRelay != nil {
+		return i.PeerRelay.Address()
+	}
+	return i.Peers
+}
--- a/layout/layout.go
+++ b/layout/layout.go
@@ -12,6 +12,8 @@
 	// NodeArgs are further flags of all nodes, Secret is the fleet's secret.
 	NodeArgs []string
 	Secret   string
+	// Relayed puts a relay before each peer port and each target.
+	Relayed bool
 }
 
 // service is one service of the layout.
@@ -34,6 +36,12 @@
 	return l
 }
 
+// WithRelays returns the layout with relays before peer ports and targets.
+func (l Layout) WithRelays() Layout {
+	l.Relayed = true
+	return l
+}
+
 // WithNodeArgs returns the layout with further flags of all nodes.
 func (l Layout) WithNodeArgs(args ...string) Layout {
 	l.NodeArgs = args
--- a/node/node.go
+++ b/node/node.go
@@ -140,8 +140,12 @@
 
 // self is the node's own record at its start.
 func (n *Node) self() member.Member {
+	id := n.setup.Advertise
+	if id == "" {
+		id = n.ports.address(n.ports.peers)
+	}
 	return member.Member{
-		ID:          n.ports.address(n.ports.peers),
+		ID:          id,
 		Incarnation: n.clock.Now(),
 		Centre:      n.setup.Centre,
 		Region:      n.setup.Region,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,10 +41,10 @@
 // goroutines. Make it with New and end it with Close.
 type Relay struct {
 	listener net.Listener
-	to       string
 	done     sync.WaitGroup
 
 	mutex    sync.Mutex
+	to       string
 	links    map[*link]bool
 	closed   bool
 	accepted int64
@@ -72,6 +72,19 @@
 	return r.listener.Addr().String()
 }
 
+// Forward sets the address that new connections go to.
+func (r *Relay) Forward(to string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.to = to
+}
+
+func (r *Relay) target() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.to
+}
+
 // Close ends the relay and all its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -151,7 +164,7 @@
 
 // forward connects the client with the server until both ends are closed.
 func (r *Relay) forward(client net.Conn) {
-	server, err := net.DialTimeout("tcp", r.to, dialTime) //nolint:noctx // bounded by its timeout
+	server, err := net.DialTimeout("tcp", r.target(), dialTime) //nolint:noctx // bounded by its timeout
 	if err != nil {
 		_ = client.Close()
 		return
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -18,6 +18,9 @@
 	Local     string
 	Peers     string
 	Operators string
+	// Advertise is the address under which peers reach the peer port, if it
+	// isn't the one to listen on; it's then the node's ID.
+	Advertise string
 	// Platform is the base URL of the platform's table service.
 	Platform string
 	// Secret is the fleet's shared secret.
@@ -50,6 +53,9 @@
 	if !loopback(s.Local) {
 		return errors.Errorf("--local is %q: it must be a loopback address, as only the own target may reach it", s.Local)
 	}
+	if _, err := netip.ParseAddrPort(s.Advertise); s.Advertise != "" && err != nil {
+		return errors.Errorf("--advertise is %q: it must be an IP number and a port, as 127.0.0.1:7000", s.Advertise)
+	}
 	for _, j := range s.Join {
 		if _, err := netip.ParseAddrPort(j); err != nil {
 			return errors.Errorf("--join is %q: it must be IP numbers and ports of peers", j)
--- a/target/target.go
+++ b/target/target.go
@@ -36,29 +36,31 @@
 
 // Target is one stand-in instance of a service. Make it with New.
 type Target struct {
-	service  string
-	node     string
-	address  string
-	clock    clock.Clock
-	runs     *runlog.Log
-	log      *slog.Logger
-	exit     func(code int)
-	client   *http.Client
-	slots    slots
-	reporter reporter
-	traits   atomic.Pointer[traits.Traits]
-	shed     atomic.Int64
-	start    int64
-	drain    atomic.Int64
-	mutex    sync.Mutex
-	random   *rand.Rand
+	service   string
+	node      string
+	announced string
+	address   string
+	clock     clock.Clock
+	runs      *runlog.Log
+	log       *slog.Logger
+	exit      func(code int)
+	client    *http.Client
+	slots     slots
+	reporter  reporter
+	traits    atomic.Pointer[traits.Traits]
+	shed      atomic.Int64
+	start     int64
+	drain     atomic.Int64
+	mutex     sync.Mutex
+	random    *rand.Rand
 }
 
-// New returns a target of the service that announces itself to the node with
-// this local address, or to none if it's empty. Random draws follow from the
-// seed. A request with the crash mark calls exit.
+// New returns a target of the service. It announces itself to the node with
+// this local address, if that isn't empty, under the announced address or, if
+// that is empty, the one that it serves on. Random draws follow from the seed.
+// A request with the crash mark calls exit.
 func New(
-	service, node string,
+	service, node, announced string,
 	first traits.Traits,
 	seed uint64,
 	c clock.Clock,
@@ -67,15 +69,16 @@
 	exit func(code int),
 ) *Target {
 	t := &Target{
-		service: service,
-		node:    node,
-		clock:   c,
-		runs:    runs,
-		log:     log,
-		exit:    exit,
-		client:  &http.Client{Transport: newTransport()},
-		start:   c.Now(),
-		random:  rand.New(rand.NewPCG(seed, seed)),
+		service:   service,
+		node:      node,
+		announced: announced,
+		clock:     c,
+		runs:      runs,
+		log:       log,
+		exit:      exit,
+		client:    &http.Client{Transport: newTransport()},
+		start:     c.Now(),
+		random:    rand.New(rand.NewPCG(seed, seed)),
 	}
 	t.traits.Store(&first)
 	return t
@@ -222,7 +225,11 @@
 	if t.drain.Load() > 0 {
 		return
 	}
-	body, err := json.Marshal(announcement{t.service, t.address, t.traits.Load().Slots})
+	address := t.announced
+	if address == "" {
+		address = t.address
+	}
+	body, err := json.Marshal(announcement{t.service, address, t.traits.Load().Slots})
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
 	}
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	f := &fixture{runs: runlog.New(nil)}
 	exit := func(int) { f.exits.Add(1) }
-	made := target.New("stock", node, first, 1, clock.New(), f.runs, slog.New(slog.DiscardHandler), exit)
+	made := target.New("stock", node, "", first, 1, clock.New(), f.runs, slog.New(slog.DiscardHandler), exit)
 	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // test
 	assert.NilError(t, err)
 	f.url = "http://" + listener.Addr().String()
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -17,6 +17,7 @@
 	Callers    string        `default:"127.0.0.1:0" env:"LOOM_CALLERS" help:"Address for callers."`
 	Local      string        `default:"127.0.0.1:0" env:"LOOM_LOCAL" help:"Loopback address for the target beside this node."`
 	Peers      string        `default:"127.0.0.1:0" env:"LOOM_PEERS" help:"Address for other nodes; it's also this node's ID."`
+	Advertise  string        `env:"LOOM_ADVERTISE" help:"Address under which peers reach this node, if it isn't --peers."`
 	Operators  string        `default:"127.0.0.1:0" env:"LOOM_OPERATORS" help:"Address for health, state and metrics."`
 	Platform   string        `required:"" env:"LOOM_PLATFORM" help:"Base URL of the platform's table service."`
 	Secret     string        `env:"LOOM_SECRET" help:"The fleet's shared secret, at least 32 bytes. Better given in the environment or a file."`
@@ -64,6 +65,7 @@
 		Local:       r.Local,
 		Peers:       r.Peers,
 		Operators:   r.Operators,
+		Advertise:   r.Advertise,
 		Platform:    r.Platform,
 		Secret:      secret,
 		Centre:      r.Centre,
--- a/verbs/standin_target.go
+++ b/verbs/standin_target.go
@@ -18,6 +18,7 @@
 type standinTarget struct {
 	Listen          string             `default:"127.0.0.1:0" help:"Address to serve on."`
 	Node            string             `help:"Address of the node's local port; none: don't announce."`
+	Announce        string             `help:"Address to announce, if it isn't the one that is served on."`
 	Service         string             `required:"" help:"Service that this is an instance of."`
 	Seed            uint64             `default:"1" help:"Seed of all random draws."`
 	Record          string             `type:"path" help:"File that also gets each run as a JSON line."`
@@ -56,7 +57,7 @@
 		return errors.Wrap(err, "listening")
 	}
 	runs := runlog.New(file)
-	served := target.New(t.Service, t.Node, first, t.Seed, clock.New(), runs, s.log, os.Exit)
+	served := target.New(t.Service, t.Node, t.Announce, first, t.Seed, clock.New(), runs, s.log, os.Exit)
 	if _, err := fmt.Fprintln(s.out, listener.Addr()); err != nil {
 		return errors.Wrap(err, "printing the address")
 	}
