--- a/fleet/main_test.go
+++ b/fleet/main_test.go
@@ -26,6 +26,10 @@
 	"bergamotloom.example/sender"
 	"bergamotloom.example/tally"
 	"bergamotloom.example/write"
+
+	// The tests run the whole program, so their cached results must not
+	// outlive a change of any of its packages.
+	_ "bergamotloom.example/verbs"
 )
 
 const (
