--- a/admit/admit.go
+++ b/admit/admit.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/gate"
-	"bergamotloom.example/level"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
 	"bergamotloom.example/ticket"
@@ -142,13 +142,13 @@
 
 // Answered returns what goes back with each answer for the team: the admission
 // threshold and the team's level under it.
-func (a *Admitter) Answered(team string) (threshold, teamLevel int) {
+func (a *Admitter) Answered(team string) bounds.Bounds {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.gate == nil {
-		return int(level.Full), int(level.Full)
+		return bounds.None()
 	}
-	return int(a.gate.Threshold()), int(a.gate.TeamLevel(team))
+	return bounds.Bounds{Threshold: a.gate.Threshold(), TeamLevel: a.gate.TeamLevel(team)}
 }
 
 // SetSlots takes another number of slots of the same target.
--- a/call/call.go
+++ b/call/call.go
@@ -6,6 +6,7 @@
 	"context"
 	"sync"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/retry"
@@ -29,9 +30,7 @@
 	children  int
 	busyFrom  float64
 	busy      float64
-	lowest    int
-	teamLevel int
-	limited   bool
+	lowest    bounds.Bounds
 	// failed holds the fingerprints of child calls that failed.
 	failed map[string]bool
 }
@@ -47,6 +46,7 @@
 		context:        ctx,
 		allowance:      retry.New(e.Allowance),
 		failed:         make(map[string]bool),
+		lowest:         bounds.None(),
 	}
 }
 
@@ -105,24 +105,18 @@
 }
 
 // Learn takes what the answer of a child call told of the thresholds in its
-// chain: the lowest one and the team's level that goes with it.
-func (c *Call) Learn(lowest, teamLevel int) {
+// chain.
+func (c *Call) Learn(lowest bounds.Bounds) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.limited || teamLevel < c.teamLevel {
-		c.lowest, c.teamLevel, c.limited = lowest, teamLevel, true
-	}
+	c.lowest = c.lowest.Lower(lowest)
 }
 
-// Lowest returns the lowest threshold in the chain from this call down, and
-// the team's level that goes with it, given those of the call's own gate.
-func (c *Call) Lowest(own, ownTeamLevel int) (lowest, teamLevel int) {
+// Lowest returns the lowest bounds of the child calls so far.
+func (c *Call) Lowest() bounds.Bounds {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.limited && c.teamLevel < ownTeamLevel {
-		return c.lowest, c.teamLevel
-	}
-	return own, ownTeamLevel
+	return c.lowest
 }
 
 // Unused returns what is left of the call's own allowance when it ends.
--- a/change/change.go
+++ b/change/change.go
@@ -3,9 +3,7 @@
 package change
 
 import (
-	"bytes"
 	"maps"
-	"slices"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -64,22 +62,3 @@
 	}
 	return c, nil
 }
-
-// Since returns the change that turns the whole version before into this whole
-// version, which must be the next one.
-func (c Change) Since(before Change) Change {
-	step := Change{Version: c.Version, Contents: make(map[string][]byte)}
-	for name, content := range c.Contents {
-		old, ok := before.Contents[name]
-		if !ok || !bytes.Equal(old, content) {
-			step.Contents[name] = content
-		}
-	}
-	for name := range before.Contents {
-		if _, ok := c.Contents[name]; !ok {
-			step.Removed = append(step.Removed, name)
-		}
-	}
-	slices.Sort(step.Removed)
-	return step
-}
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -11,10 +11,10 @@
 
 	"bergamotloom.example/ident"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/choose"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
-	"bergamotloom.example/level"
 	"bergamotloom.example/member"
 	"bergamotloom.example/passer"
 	"bergamotloom.example/ratio"
@@ -94,8 +94,7 @@
 		deadline:  deadlineMillis,
 		allowance: allowance,
 		body:      newReplay(r),
-		lowest:    reply.NoThreshold,
-		teamLevel: reply.NoThreshold,
+		lowest:    bounds.None(),
 	}
 	if !e.Idempotent || !s.body.empty() {
 		// A request that must not run twice, or that has a body, waits for
@@ -141,11 +140,7 @@
 func (d *Dispatcher) ended(m member.Member, a reply.Reply, whole bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	threshold := level.Full
-	if a.Threshold != reply.NoThreshold {
-		threshold = level.Level(a.Threshold)
-	}
-	d.chooser.Ended(m.ID, whole, a.TookMillis, threshold)
+	d.chooser.Ended(m.ID, whole, a.TookMillis, a.Threshold)
 	switch {
 	case a.Gone:
 		d.chooser.Lost(m.ID, goneMillis)
@@ -165,9 +160,8 @@
 	body      *replay
 	tried     []string
 	// maybe says that an attempt before may have run.
-	maybe     bool
-	lowest    int
-	teamLevel int
+	maybe  bool
+	lowest bounds.Bounds
 }
 
 // run sends the request until it's answered or may not be sent again.
@@ -197,7 +191,7 @@
 	e := s.envelope.WithAttempt(ident.New(), leftMillis, lent.Left())
 	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request())
 	s.allowance = s.allowance.Merge(retry.New(got.Unused))
-	s.learn(got)
+	s.lowest = s.lowest.Lower(got.Lowest)
 	s.tell(m, got)
 	if !got.Served() {
 		s.maybe = s.maybe || got.Refusal.Ran != runst.Never
@@ -218,16 +212,6 @@
 	}
 }
 
-// learn keeps the lowest threshold of all attempts.
-func (s *sending) learn(got reply.Reply) {
-	if got.Lowest == reply.NoThreshold {
-		return
-	}
-	if s.lowest == reply.NoThreshold || got.TeamLevel < s.teamLevel {
-		s.lowest, s.teamLevel = got.Lowest, got.TeamLevel
-	}
-}
-
 // again tells whether the refused request may be sent to another instance. A
 // request that never ran may; one that may have run only if it's idempotent.
 func (s *sending) again(got reply.Reply) bool {
@@ -256,7 +240,7 @@
 }
 
 func (s *sending) finish(got reply.Reply) reply.Reply {
-	got.Lowest, got.TeamLevel = s.lowest, s.teamLevel
+	got.Lowest = s.lowest
 	// The last attempt never ran, but one before it may have.
 	if !got.Served() && s.maybe {
 		got.Refusal = got.Refusal.WithRan(runst.Maybe)
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -19,7 +19,7 @@
 func deliver(e *Entry, k *work) (refuse.Refusal, bool) {
 	got := e.send(k)
 	defer got.Close()
-	e.filter.learn(k.route.Name, k.team.Name, got)
+	e.filter.learn(k.route.Name, k.team.Name, got.Lowest)
 	if !got.Served() {
 		r, refused := e.failed(k, got)
 		e.endRefused(k, r)
@@ -70,9 +70,7 @@
 	lent := k.parent.BeginChild()
 	got, unused := e.dispatch.Send(k.context, e.service(), k.route.Service, k.envelope, k.deadline, lent, out)
 	k.parent.EndChild(unused)
-	if got.Lowest != reply.NoThreshold {
-		k.parent.Learn(got.Lowest, got.TeamLevel)
-	}
+	k.parent.Learn(got.Lowest)
 	if !got.Served() || got.Status >= http.StatusInternalServerError {
 		k.parent.Failed(k.envelope.Fingerprint)
 	}
--- a/entry/early.go
+++ b/entry/early.go
@@ -4,14 +4,13 @@
 	"math/rand/v2"
 	"sync"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/early"
-	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
 	"bergamotloom.example/ratio"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
-	"bergamotloom.example/reply"
 )
 
 const (
@@ -41,13 +40,10 @@
 	return f.early.Passes(route, team, r, rand.Float64())
 }
 
-func (f *filter) learn(route, team string, a reply.Reply) {
-	if a.Lowest == reply.NoThreshold {
-		return
-	}
+func (f *filter) learn(route, team string, b bounds.Bounds) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.early.Learn(route, team, level.Level(a.Lowest), level.Level(a.TeamLevel))
+	f.early.Learn(route, team, b.Service, b.Threshold, b.TeamLevel)
 }
 
 // grant counts a new request and takes up to n retries from the budget.
--- a/envel/envel.go
+++ b/envel/envel.go
@@ -3,8 +3,9 @@
 package envel
 
 import (
-	"encoding/json"
+	"encoding/base64"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/rank"
@@ -23,37 +24,37 @@
 )
 
 // Envelope says on whose behalf and within which bounds a request runs. It's a
-// value; on the wire it's a JSON object in a header.
+// value; on the wire it's a CBOR map in a header, in base64.
 type Envelope struct {
 	// Request is the identity of the caller's request, the same through the
 	// chain; Attempt names this one sending of it or of a child call.
-	Request string
-	Attempt string
+	Request string `cbor:"1,keyasint"`
+	Attempt string `cbor:"2,keyasint"`
 	// Team is charged for the request and Weight is its part in fairness: the
 	// team's rate in requests a second.
-	Team   string
-	Weight float64
-	Route  string
-	Rank   rank.Rank
+	Team   string    `cbor:"3,keyasint"`
+	Weight float64   `cbor:"4,keyasint"`
+	Route  string    `cbor:"5,keyasint"`
+	Rank   rank.Rank `cbor:"6,keyasint"`
 	// TimeoutMillis is the time left for the request, in milliseconds.
-	TimeoutMillis int64
+	TimeoutMillis int64 `cbor:"7,keyasint"`
 	// Allowance is the number of retries lent to this call and its children.
-	Allowance int
+	Allowance int `cbor:"8,keyasint"`
 	// Depth counts the calls from the caller down to this one, from 1.
-	Depth int
+	Depth int `cbor:"9,keyasint"`
 	// Idempotent says that the request may run more than once.
-	Idempotent bool
+	Idempotent bool `cbor:"10,keyasint"`
 	// Confirm says that the gate must not run the request before the entry
 	// has sent the confirmation byte, which is the first of the body.
-	Confirm bool
+	Confirm bool `cbor:"11,keyasint"`
 	// BodyLength is the length of the caller's body in bytes, -1 if unknown.
-	BodyLength int64
+	BodyLength int64 `cbor:"12,keyasint"`
 	// Passed is the share of such requests that the entry let pass when it
 	// sent this one, so that the gate knows the demand behind it; 0 is all.
-	Passed float64
+	Passed float64 `cbor:"13,keyasint"`
 	// Fingerprint is the same for resends of the same request, so that a
 	// request which crashes its targets is known again.
-	Fingerprint string
+	Fingerprint string `cbor:"14,keyasint"`
 }
 
 // Child tells whether the request is a call made on behalf of another one.
@@ -77,21 +78,24 @@
 	return e
 }
 
-// Encode returns the header's value, for example
-// {"Request":"4be1...","Team":"lake-north","Depth":1,...}.
+// Encode returns the header's value.
 func (e Envelope) Encode() string {
-	raw, err := json.Marshal(e)
+	raw, err := cbor.Marshal(e)
 	if err != nil {
-		// Every field is a plain value, which always has a JSON form.
-		panic("envel: an envelope has no JSON form: " + err.Error())
+		// Every field is a plain value, which always has a CBOR form.
+		panic("envel: an envelope has no CBOR form: " + err.Error())
 	}
-	return string(raw)
+	return base64.RawURLEncoding.EncodeToString(raw)
 }
 
 // Decode reads a header's value and checks its bounds.
 func Decode(value string) (Envelope, error) {
 	var e Envelope
-	if err := json.Unmarshal([]byte(value), &e); err != nil {
+	raw, err := base64.RawURLEncoding.DecodeString(value)
+	if err != nil {
+		return Envelope{}, errors.Wrap(err, "envel: malformed envelope")
+	}
+	if err := cbor.Unmarshal(raw, &e); err != nil {
 		return Envelope{}, errors.Wrap(err, "envel: malformed envelope")
 	}
 	return e, e.check()
--- a/fleet/main_test.go
+++ b/fleet/main_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,10 +23,8 @@
 	"bergamotloom.example/load"
 	"bergamotloom.example/plan"
 	"bergamotloom.example/proc"
-	"bergamotloom.example/remote"
 	"bergamotloom.example/sender"
 	"bergamotloom.example/tally"
-	"bergamotloom.example/write"
 
 	// The tests run the whole program, so their cached results must not
 	// outlive a change of any of its packages.
@@ -88,15 +87,11 @@
 
 func configure(t *testing.T, f *fleet.Fleet, content string) {
 	t.Helper()
-	platform, err := remote.New(f.Platform.Line(), time.Second)
+	folder := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "a.yaml"), []byte(content), 0o600))
+	out, code, err := f.Run(t.Context(), "apply", folder, "--platform", f.Platform.Line(), "--who", "test")
 	assert.NilError(t, err)
-	defer platform.Close()
-	applied, err := platform.Table().Transact(t.Context(), "first", []write.Write{
-		write.Put("config/current", []byte("1"), 0),
-		write.Put("files/a.yaml", []byte(content), 0),
-	})
-	assert.NilError(t, err)
-	assert.Assert(t, applied)
+	assert.Equal(t, code, 0, out)
 }
 
 // waitReady waits until each node serves a request and knows all instances.
--- a/header/forward.go
+++ b/header/forward.go
@@ -12,10 +12,9 @@
 	RetryAfterMillis = "Loom-Retry-After-Millis"
 	// Threshold is the gate's own admission threshold.
 	Threshold = "Loom-Threshold"
-	// Lowest is the lowest threshold in the whole chain, and TeamLevel the
-	// level of the request's team that goes with it.
-	Lowest    = "Loom-Lowest"
-	TeamLevel = "Loom-Team-Level"
+	// Lowest is the lowest threshold in the whole chain, as package bounds
+	// writes it.
+	Lowest = "Loom-Lowest"
 	// Unused is how much of the lent retry allowance comes back.
 	Unused = "Loom-Unused-Allowance"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"bergamotloom.example/secret"
 	"bergamotloom.example/setup"
 	"bergamotloom.example/spread"
+	"bergamotloom.example/store"
 )
 
 const platformTimeoutMillis = 2000
@@ -126,7 +127,7 @@
 		send(to, quotaKind, message)
 	})
 	n.rates = rates.New(n.clock, n.quota, n.platform.Table())
-	n.spread = spread.New(n.clock, self.ID, configRows{n.platform.Table()}, n.store, n.gossip, send, n.registry, n.log)
+	n.spread = spread.New(n.clock, self.ID, store.New(n.platform.Table(), n.clock), n.store, n.gossip, send, n.registry, n.log)
 	n.claims = claims.New(n.clock, n.platform.Table(), n.registry, n.log)
 	chooser := choose.New(n.clock, n.setup.Centre, rand.Uint64())
 	n.dispatcher = dispat.New(n.clock, n.passer, chooser, n.memberGone, n.memberSilent)
--- a/passer/passer.go
+++ b/passer/passer.go
@@ -24,9 +24,11 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/header"
+	"bergamotloom.example/level"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
 	"bergamotloom.example/reply"
@@ -117,9 +119,8 @@
 // a refusal that the gate marked as such.
 func (a *attempt) answered(res *http.Response) reply.Reply {
 	got := reply.Reply{
-		Threshold: number(res.Header, header.Threshold, reply.NoThreshold),
-		Lowest:    number(res.Header, header.Lowest, reply.NoThreshold),
-		TeamLevel: number(res.Header, header.TeamLevel, reply.NoThreshold),
+		Threshold: level.Level(number(res.Header, header.Threshold, int(level.Full))),
+		Lowest:    bounds.Decode(res.Header.Get(header.Lowest)),
 		Unused:    number(res.Header, header.Unused, 0),
 	}
 	if why := res.Header.Get(header.Refused); why != "" {
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 
+	"bergamotloom.example/bounds"
+	"bergamotloom.example/level"
 	"bergamotloom.example/refuse"
 )
 
@@ -20,12 +22,10 @@
 	Length int64
 
 	Refusal refuse.Refusal
-	// Threshold is what the gate said of its own admission, NoThreshold if it
-	// didn't. Lowest is the lowest threshold in the whole chain, and TeamLevel
-	// the level of the request's team that goes with it.
-	Threshold int
-	Lowest    int
-	TeamLevel int
+	// Threshold is what the gate said of its own admission, Full if it didn't
+	// say. Lowest is the lowest one in the whole chain.
+	Threshold level.Level
+	Lowest    bounds.Bounds
 	// Unused is how much of the lent retry allowance came back.
 	Unused int
 	// Gone says that the peer refused the connection: its process has ended.
@@ -36,12 +36,9 @@
 	TookMillis float64
 }
 
-// NoThreshold stands for an answer without the gate's threshold.
-const NoThreshold = -1
-
 // Refuse returns the answer of an attempt that was refused.
 func Refuse(r refuse.Refusal) Reply {
-	return Reply{Refusal: r, Threshold: NoThreshold, Lowest: NoThreshold, TeamLevel: NoThreshold}
+	return Reply{Refusal: r, Threshold: level.Full, Lowest: bounds.None()}
 }
 
 // Served tells whether the target answered.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -196,15 +196,15 @@
 // mark sets what goes back to the entry with each answer: the thresholds, and
 // what is left of the lent retry allowance.
 func (r *Runner) mark(h http.Header, e envel.Envelope, c *call.Call) {
-	threshold, teamLevel := r.gate.Answered(e.Team)
-	lowest := threshold
+	own := r.gate.Answered(e.Team)
+	own.Service, _ = r.target.Service()
+	lowest := own
 	unused := e.Allowance
 	if c != nil {
 		unused = c.Unused()
-		lowest, teamLevel = c.Lowest(threshold, teamLevel)
+		lowest = own.Lower(c.Lowest())
 	}
-	h.Set(header.Threshold, strconv.Itoa(threshold))
-	h.Set(header.Lowest, strconv.Itoa(lowest))
-	h.Set(header.TeamLevel, strconv.Itoa(teamLevel))
+	h.Set(header.Threshold, strconv.Itoa(int(own.Threshold)))
+	h.Set(header.Lowest, lowest.Encode())
 	h.Set(header.Unused, strconv.Itoa(unused))
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -60,6 +60,8 @@
 type reader interface {
 	// Version returns the version in force, 0 before the first.
 	Version(ctx context.Context) (int64, error)
+	// Change returns one accepted change, or false if it isn't kept.
+	Change(ctx context.Context, version int64) (change.Change, bool, error)
 	// Whole returns the configuration in force with all its files.
 	Whole(ctx context.Context) (change.Change, error)
 }
@@ -311,26 +313,42 @@
 	if version <= s.store.Current().Version() {
 		return
 	}
-	whole, err := s.table.Whole(ctx)
-	if err != nil {
-		s.failed.Inc(1)
-		s.store.Learn(version)
-		return
+	if !s.readChanges(ctx, version) {
+		s.readWhole(ctx)
 	}
-	before := s.store.Whole()
-	s.offer(whole)
-	s.publish(before, whole)
+	// Also when nothing could be read, the others learn that there is more.
+	s.store.Learn(version)
+	s.gossip.Publish(versionKey, version, nil)
 }
 
-// publish spreads the news: the change when this node knew the version before
-// it, and else only that there is a newer version.
-func (s *Spreader) publish(before, after change.Change) {
-	if step := after.Since(before); before.Version == after.Version-1 && before.Version > 0 {
-		encoded, err := step.Encode()
+// readChanges reads the changes up to the version one by one and spreads them,
+// and tells whether the version came into force that way.
+func (s *Spreader) readChanges(ctx context.Context, version int64) bool {
+	first := s.store.Current().Version() + 1
+	if first == 1 || version-first >= changesMost {
+		return false
+	}
+	for v := first; v <= version; v++ {
+		c, ok, err := s.table.Change(ctx, v)
+		if err != nil || !ok {
+			return false
+		}
+		encoded, err := c.Encode()
 		if err != nil {
 			panic("spread: a change has no CBOR form: " + err.Error())
 		}
-		s.gossip.PublishFor(changeKeys+strconv.FormatInt(after.Version, 10), after.Version, encoded, changeLifeMillis)
+		s.gossip.PublishFor(changeKeys+strconv.FormatInt(v, 10), v, encoded, changeLifeMillis)
+		s.offer(c)
 	}
-	s.gossip.Publish(versionKey, after.Version, nil)
+	return s.store.Current().Version() >= version
+}
+
+// readWhole reads the whole configuration, after a start or a long gap.
+func (s *Spreader) readWhole(ctx context.Context) {
+	whole, err := s.table.Whole(ctx)
+	if err != nil {
+		s.failed.Inc(1)
+		return
+	}
+	s.offer(whole)
 }
