--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 test: lint build
 	go test -race -timeout 20m ./...
+
+demo: build
+	bin/bergamotloom demo
--- a/answer/answer.go
+++ b/answer/answer.go
@@ -22,9 +22,11 @@
 
 // Answer is the end of one request, after all its sends.
 type Answer struct {
-	Team  string
-	Route string
-	Kind  Kind
+	// Marker names the request in the targets' records.
+	Marker string
+	Team   string
+	Route  string
+	Kind   Kind
 	// Reason says more about the kind: the reason of a refusal, the status of
 	// a failure, or how an answer was cut.
 	Reason string
--- a/load/load.go
+++ b/load/load.go
@@ -30,6 +30,7 @@
 	open    chan struct{}
 	results chan answer.Answer
 	sends   sync.WaitGroup
+	watch   func(answer.Answer)
 }
 
 // New returns the load of a plan that was checked. The sender may be shared,
@@ -41,9 +42,17 @@
 		sender:  s,
 		open:    make(chan struct{}, p.MaxOpen),
 		results: make(chan answer.Answer, resultsSize),
+		watch:   func(answer.Answer) {},
 	}
 }
 
+// Watch has each answer shown to a function besides being counted. It's called
+// before Run, by one goroutine at a time.
+func (l *Load) Watch(watch func(answer.Answer)) *Load {
+	l.watch = watch
+	return l
+}
+
 // Run sends the whole plan, waits for the last answer and returns the tally.
 // When ctx ends it sends no more, and open requests end as broken.
 func (l *Load) Run(ctx context.Context) *tally.Tally {
@@ -68,6 +77,7 @@
 func (l *Load) count(t *tally.Tally) {
 	for a := range l.results {
 		t.Add(a)
+		l.watch(a)
 	}
 }
 
@@ -111,7 +121,7 @@
 	select {
 	case l.open <- struct{}{}:
 	default:
-		l.results <- answer.Answer{Team: a.Team, Route: a.Route, Kind: answer.Unsent, LateMillis: late}
+		l.results <- answer.Answer{Marker: a.Marker, Team: a.Team, Route: a.Route, Kind: answer.Unsent, LateMillis: late}
 		return
 	}
 	l.sends.Go(func() {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -92,7 +92,7 @@
 }
 
 func end(a arrive.Arrival, kind answer.Kind, reason string) answer.Answer {
-	return answer.Answer{Team: a.Team, Route: a.Route, Kind: kind, Reason: reason}
+	return answer.Answer{Marker: a.Marker, Team: a.Team, Route: a.Route, Kind: kind, Reason: reason}
 }
 
 // lost tells apart the ways in which no whole answer came.
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -43,6 +43,7 @@
 		showVerb(),
 		auditVerb(),
 		keyVerb(),
+		demoVerb(),
 		benchVerb(),
 		loadVerb(),
 		overheadVerb(),
