Wait in one place, open the platform in one place, count a node only when it serves

Cause: three packages had the same wait, three commands the same opening; and a node that holds a version but serves nothing because it's cut off was named as having it in force.

go test -race ./verbs ./store ./settle passed.

--- a/settle/settle.go
+++ b/settle/settle.go
@@ -15,12 +15,13 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/pause"
 	"bergamotloom.example/table"
 	"bergamotloom.example/write"
 )
 
-// pause is the wait between a lost answer and the read-back.
-const pause = 50 * time.Millisecond
+// rereadPause is the wait between a lost answer and the read-back.
+const rereadPause = 50 * time.Millisecond
 
 // Transact applies the writes once and returns whether they were applied. The
 // first write is the marker; it must put a value that no other transaction
@@ -30,7 +31,7 @@
 	applied, err := t.Transact(ctx, token, writes)
 	for err != nil {
 		lost := err
-		if !wait(ctx) {
+		if !pause.For(ctx, rereadPause) {
 			return false, errors.Wrap(lost, "the outcome isn't known")
 		}
 		landed, known := readBack(ctx, t, writes[0])
@@ -53,7 +54,7 @@
 		if known {
 			return landed, nil
 		}
-		if !wait(ctx) {
+		if !pause.For(ctx, rereadPause) {
 			return false, errors.New("the outcome isn't known")
 		}
 	}
@@ -68,15 +69,3 @@
 	}
 	return ok && bytes.Equal(row.Value, marker.Value), true
 }
-
-// wait pauses, and returns false if ctx ended first.
-func wait(ctx context.Context) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/store/store.go
+++ b/store/store.go
@@ -24,6 +24,7 @@
 	"bergamotloom.example/audit"
 	"bergamotloom.example/change"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
 	"bergamotloom.example/snap"
 	"bergamotloom.example/stored"
@@ -95,7 +96,7 @@
 func (s *Store) Read(ctx context.Context) (snap.Snapshot, error) {
 	for {
 		read, err := s.readOnce(ctx)
-		if !errors.Is(err, errMixed) || !pause(ctx) {
+		if !errors.Is(err, errMixed) || !pause.For(ctx, rereadPause) {
 			return read, err
 		}
 	}
@@ -196,18 +197,6 @@
 	return time.UnixMicro(micros).UTC().Format("2006-01-02T15:04:05.000000Z")
 }
 
-// pause waits before the next attempt, and returns false if ctx ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(rereadPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // oneLine keeps an operator's name from breaking the trail's lines.
 func oneLine(text string) string {
 	return strings.Join(strings.Fields(text), " ")
--- a/store/submit.go
+++ b/store/submit.go
@@ -11,6 +11,7 @@
 	"bergamotloom.example/change"
 	"bergamotloom.example/edit"
 	"bergamotloom.example/loader"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/result"
 	"bergamotloom.example/settle"
 	"bergamotloom.example/snap"
@@ -45,7 +46,7 @@
 		if applied {
 			return found, nil
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, rereadPause) {
 			return result.Result{}, errors.New("store: not accepted: the version in force kept changing")
 		}
 	}
@@ -63,7 +64,7 @@
 		if last == nil || ctx.Err() == nil {
 			last = err
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, rereadPause) {
 			return snap.Snapshot{}, last
 		}
 	}
@@ -77,7 +78,7 @@
 	}
 	for {
 		applied, err := s.table.Transact(ctx, token, writes)
-		if err == nil || !pause(ctx) {
+		if err == nil || !pause.For(ctx, rereadPause) {
 			return applied, errors.Wrap(err, "store: checking the version")
 		}
 	}
--- a/verbs/apply.go
+++ b/verbs/apply.go
@@ -11,6 +11,7 @@
 
 	"bergamotloom.example/edit"
 	"bergamotloom.example/folder"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/result"
 	"bergamotloom.example/store"
 )
@@ -147,7 +148,7 @@
 			settled = state
 		}
 		last = state
-		if !sleep(s.context, a.Every) {
+		if !pause.For(s.context, a.Every) {
 			return nil
 		}
 	}
--- a/verbs/audit.go
+++ b/verbs/audit.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bergamotloom.example/store"
 )
 
 // auditTrail prints who changed or tried to change the configuration.
@@ -33,25 +35,20 @@
 
 // Run prints one line for each change.
 func (a *auditTrail) Run(s *session) error {
-	configuration, done, err := a.open()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(s.context, a.Timeout)
-	defer cancel()
-	version, err := configuration.Version(ctx)
-	if err != nil {
-		return err
-	}
-	lines, err := configuration.Audit(ctx, version-a.Last+1)
-	if err != nil {
-		return err
-	}
-	for _, l := range lines {
-		if _, err := fmt.Fprintln(s.out, l); err != nil {
-			return errors.Wrap(err, "printing the trail")
+	return a.within(s, a.Timeout, func(ctx context.Context, configuration *store.Store) error {
+		version, err := configuration.Version(ctx)
+		if err != nil {
+			return err
 		}
-	}
-	return nil
+		lines, err := configuration.Audit(ctx, version-a.Last+1)
+		if err != nil {
+			return err
+		}
+		for _, l := range lines {
+			if _, err := fmt.Fprintln(s.out, l); err != nil {
+				return errors.Wrap(err, "printing the trail")
+			}
+		}
+		return nil
+	})
 }
--- a/verbs/cases_test.go
+++ b/verbs/cases_test.go
@@ -71,7 +71,7 @@
 	platform := httptest.NewServer(plat.New(clock.New(), faults.New()).Handler())
 	t.Cleanup(platform.Close)
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprint(w, `{"Version":1}`)
+		_, _ = fmt.Fprint(w, `{"Version":1,"InForce":true}`)
 	}))
 	t.Cleanup(node.Close)
 	t.Setenv("LOOM_PLATFORM", platform.URL)
--- a/verbs/fetch.go
+++ b/verbs/fetch.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/folder"
+	"bergamotloom.example/snap"
+	"bergamotloom.example/store"
 )
 
 // fetch brings a folder up to the version in force.
@@ -33,17 +35,16 @@
 	if err != nil {
 		return usageError{err}
 	}
-	configuration, done, err := h.open()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(s.context, h.Timeout)
-	defer cancel()
-	read, err := configuration.Read(ctx)
-	if err != nil {
-		return err
-	}
+	return h.within(s, h.Timeout, func(ctx context.Context, configuration *store.Store) error {
+		read, err := configuration.Read(ctx)
+		if err != nil {
+			return err
+		}
+		return h.update(s, f, read)
+	})
+}
+
+func (h *fetch) update(s *session, f folder.Folder, read snap.Snapshot) error {
 	if read.Version < f.Version() {
 		return errors.Errorf("the table answered with version %d, but the folder has met %d: try again", read.Version, f.Version())
 	}
@@ -52,9 +53,9 @@
 		return err
 	}
 	fmt.Fprintf(s.out, "version %d: updated %s\n", read.Version, listOr(updated, "nothing"))
-	if len(clashing) > 0 {
-		return errors.Errorf("changed on both sides: %s; compare each with its .NAME.theirs, then apply yours over it",
-			strings.Join(clashing, ", "))
+	if len(clashing) == 0 {
+		return nil
 	}
-	return nil
+	return errors.Errorf("changed on both sides: %s; compare each with its .NAME.theirs, then apply yours over it",
+		strings.Join(clashing, ", "))
 }
--- a/verbs/nodes.go
+++ b/verbs/nodes.go
@@ -11,20 +11,22 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"bergamotloom.example/pause"
 )
 
 const (
-	nodeTimeout    = time.Second
-	nodePoll       = 100 * time.Millisecond
-	nodesAtOnce    = 32
-	nodeStatePath  = "/loom/state"
-	unknownVersion = -1
+	nodeTimeout   = time.Second
+	nodePoll      = 100 * time.Millisecond
+	nodesAtOnce   = 32
+	nodeStatePath = "/loom/state"
 )
 
 // nodeState is what one node says of the version in force there.
 type nodeState struct {
 	address string
 	version int64
+	serving bool
 	err     error
 }
 
@@ -33,6 +35,9 @@
 	if n.err != nil {
 		return fmt.Sprintf("node %s: not known (%v)", n.address, n.err)
 	}
+	if !n.serving {
+		return fmt.Sprintf("node %s: version %d, not in force yet", n.address, n.version)
+	}
 	return fmt.Sprintf("node %s: version %d", n.address, n.version)
 }
 
@@ -43,8 +48,7 @@
 	group.SetLimit(nodesAtOnce)
 	for i, a := range addresses {
 		group.Go(func() error {
-			version, err := readNode(ctx, a)
-			states[i] = nodeState{address: a, version: version, err: err}
+			states[i] = readNode(ctx, a)
 			return nil
 		})
 	}
@@ -52,23 +56,26 @@
 	return states
 }
 
-func readNode(ctx context.Context, address string) (int64, error) {
+func readNode(ctx context.Context, address string) nodeState {
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+nodeStatePath, nil)
 	if err != nil {
-		return unknownVersion, errors.New("not an address")
+		return nodeState{address: address, err: errors.New("not an address")}
 	}
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return unknownVersion, errors.New("no answer")
+		return nodeState{address: address, err: errors.New("no answer")}
 	}
 	defer func() { _ = answer.Body.Close() }()
-	var state struct{ Version int64 }
+	var state struct {
+		Version int64
+		InForce bool
+	}
 	if err := json.NewDecoder(answer.Body).Decode(&state); err != nil || answer.StatusCode != http.StatusOK {
-		return unknownVersion, errors.Errorf("status %d", answer.StatusCode)
+		return nodeState{address: address, err: errors.Errorf("status %d", answer.StatusCode)}
 	}
-	return state.Version, nil
+	return nodeState{address: address, version: state.Version, serving: state.InForce}
 }
 
 // awaitNodes waits until the version, or a newer one, is in force at all nodes
@@ -76,26 +83,14 @@
 func awaitNodes(ctx context.Context, addresses []string, version int64) []nodeState {
 	for {
 		late := slices.DeleteFunc(readNodes(ctx, addresses), func(n nodeState) bool {
-			return n.err == nil && n.version >= version
+			return n.err == nil && n.serving && n.version >= version
 		})
-		if len(late) == 0 || !sleep(ctx, nodePoll) {
+		if len(late) == 0 || !pause.For(ctx, nodePoll) {
 			return late
 		}
 	}
 }
 
-// sleep pauses, and returns false if ctx ended.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func sortedNames(contents map[string][]byte) []string {
 	return slices.Sorted(maps.Keys(contents))
 }
--- a/verbs/platform.go
+++ b/verbs/platform.go
@@ -1,6 +1,7 @@
 package verbs
 
 import (
+	"context"
 	"time"
 
 	"bergamotloom.example/clock"
@@ -23,3 +24,15 @@
 	}
 	return store.New(client.Table(), clock.New()), client.Close, nil
 }
+
+// within runs work on the configuration in the table, for a time at most.
+func (f platformFlags) within(s *session, limit time.Duration, work func(context.Context, *store.Store) error) error {
+	configuration, done, err := f.open()
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(s.context, limit)
+	defer cancel()
+	return work(ctx, configuration)
+}
--- a/verbs/show.go
+++ b/verbs/show.go
@@ -15,6 +15,7 @@
 	"bergamotloom.example/route"
 	"bergamotloom.example/shasum"
 	"bergamotloom.example/snap"
+	"bergamotloom.example/store"
 )
 
 const columnGap = 2
@@ -37,25 +38,20 @@
 
 // Run reads the table and, if asked to, nodes.
 func (w *show) Run(s *session) error {
-	configuration, done, err := w.open()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(s.context, w.Timeout)
-	defer cancel()
-	read, err := configuration.Read(ctx)
-	if err != nil {
-		return err
-	}
-	if w.File != "" {
-		return printFile(s.out, read, w.File)
-	}
-	loaded, problems := loader.New().Load(read.Version, read.Contents())
-	if len(problems) > 0 {
-		return problemsError(problems)
-	}
-	return errors.Wrap(w.print(ctx, s.out, read, loaded), "printing")
+	return w.within(s, w.Timeout, func(ctx context.Context, configuration *store.Store) error {
+		read, err := configuration.Read(ctx)
+		if err != nil {
+			return err
+		}
+		if w.File != "" {
+			return printFile(s.out, read, w.File)
+		}
+		loaded, problems := loader.New().Load(read.Version, read.Contents())
+		if len(problems) > 0 {
+			return problemsError(problems)
+		}
+		return errors.Wrap(w.print(ctx, s.out, read, loaded), "printing")
+	})
 }
 
 func printFile(out io.Writer, read snap.Snapshot, name string) error {
