--- a/folder/folder.go
+++ b/folder/folder.go
@@ -119,7 +119,8 @@
 	return e
 }
 
-// Accept notes that the edit's files are in the table as they are here.
+// Accept notes that the edit's files are in the table as they are here, and
+// clears away what Fetch put beside them.
 func (f Folder) Accept(e edit.Edit, version int64) (Folder, error) {
 	origins := f.origins()
 	for name, content := range e.Contents {
@@ -128,6 +129,11 @@
 	for _, name := range e.Removed {
 		delete(origins, name)
 	}
+	for _, name := range append(e.Changed(), e.Removed...) {
+		if err := place(filepath.Join(f.dir, theirsName(name)), stored.NewRemoved(name)); err != nil {
+			return f, err
+		}
+	}
 	return f.withBase(origins, max(version, f.base.Version))
 }
 
