--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -38,6 +38,7 @@
 	advance        func(float64)
 	alive, stopped bool
 	noTable        bool
+	leaving        bool
 	backlog        []func()
 	reign          int64
 }
@@ -93,7 +94,7 @@
 func (w *world) gossip() {
 	roster := map[string]member.Member{}
 	for i, n := range w.nodes {
-		roster[name(i)] = member.Member{ID: name(i), Incarnation: n.incarnation, Centre: fmt.Sprint(i % 3)}
+		roster[name(i)] = member.Member{ID: name(i), Incarnation: n.incarnation, Centre: fmt.Sprint(i % 3), Leaving: n.leaving}
 	}
 	for _, n := range w.nodes {
 		n.run(func() { n.lease.SetMembers(roster) })
@@ -226,6 +227,9 @@
 	case "restart":
 		w.start(i)
 		w.gossip()
+	case "leave":
+		w.nodes[i].leaving = true
+		w.gossip()
 	case "stop":
 		w.nodes[i].stopped = true
 	case "resume":
@@ -265,7 +269,7 @@
 
 func TestAtMostOneNodeActsInAnyHistory(t *testing.T) {
 	kinds := []string{
-		"kill", "kill", "restart", "stop", "stop", "resume", "resume", "cut", "oneWay", "isolate",
+		"kill", "kill", "restart", "leave", "leave", "stop", "stop", "resume", "resume", "cut", "oneWay", "isolate",
 		"heal", "noTable", "out", "lossy", "clean",
 	}
 	terms := 0
