--- /dev/null
+++ b/crash/crash_test.go
@@ -0,0 +1,88 @@
+package crash_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/crash"
+)
+
+// fleet is a few nodes that tell one another everything at once.
+type fleet struct {
+	nodes   []*crash.Marks
+	advance func(float64)
+}
+
+func newFleet(size int) *fleet {
+	c, advance := clock.NewManual(1000)
+	f := &fleet{advance: advance}
+	for i := range size {
+		f.nodes = append(f.nodes, crash.New(c, string(rune('a'+i)), func(key string, _ int64, value []byte, _ int64) {
+			for j, n := range f.nodes {
+				if j != i {
+					n.OnFact(key, value)
+				}
+			}
+		}))
+	}
+	return f
+}
+
+func (f *fleet) refusing(fingerprint string) int {
+	count := 0
+	for _, n := range f.nodes {
+		if _, refused := n.Refuses(fingerprint); refused {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSecondCrashHasTheRequestRefusedEverywhereForAWhile(t *testing.T) {
+	f := newFleet(3)
+	f.nodes[0].Crashed([]string{"bad", "bystander"})
+	assert.Equal(t, f.refusing("bad"), 0)
+	f.nodes[1].Crashed([]string{"bad", "other"})
+	assert.Equal(t, f.refusing("bad"), 3)
+	assert.Equal(t, f.refusing("bystander")+f.refusing("other"), 0)
+	f.advance(crash.BlockMillis)
+	assert.Equal(t, f.refusing("bad"), 0)
+}
+
+func TestAnAnsweredRequestIsHarmless(t *testing.T) {
+	f := newFleet(3)
+	f.nodes[0].Crashed([]string{"bad", "popular"})
+	f.nodes[1].Answered("popular")
+	f.nodes[2].Crashed([]string{"bad", "popular"})
+	assert.Equal(t, f.refusing("popular"), 0)
+	assert.Equal(t, f.refusing("bad"), 3)
+}
+
+func TestOneCrashToldTwiceCountsOnce(t *testing.T) {
+	c, _ := clock.NewManual(1000)
+	var key string
+	var value []byte
+	a := crash.New(c, "a", func(k string, _ int64, v []byte, _ int64) { key, value = k, v })
+	a.Crashed([]string{"bad", ""})
+	a.OnFact(key, value)
+	a.OnFact(key, []byte("not CBOR"))
+	_, refused := a.Refuses("bad")
+	assert.Assert(t, !refused)
+	_, refused = a.Refuses("")
+	assert.Assert(t, !refused)
+}
+
+func TestADeadNodeIsOneCrashWhoeverTells(t *testing.T) {
+	f := newFleet(3)
+	for _, n := range f.nodes {
+		n.Lost("dead/1", "bad")
+		n.Lost("cut/1", "bad")
+		n.Proved("dead/1")
+	}
+	assert.Equal(t, f.refusing("bad"), 0)
+	f.nodes[0].Lost("dead/2", "bad")
+	f.nodes[0].Proved("dead/2")
+	assert.Equal(t, f.refusing("bad"), 3)
+}
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -39,6 +39,10 @@
 	// parties is by how many an allowance is divided when a request is sent:
 	// the node keeps a part for sending it again, the rest goes along.
 	parties = 2
+
+	// lossesMost is how many instances a request may be lost with and still
+	// be sent to another.
+	lossesMost = 1
 )
 
 // Dispatcher sends requests to the instances that one node knows. It's safe
@@ -50,6 +54,8 @@
 	// that was silent.
 	gone    func(m member.Member)
 	suspect func(m member.Member)
+	// lost is told of a request that broke off at an instance.
+	lost func(m member.Member, fingerprint string)
 
 	mutex   sync.Mutex
 	chooser *choose.Chooser
@@ -62,13 +68,15 @@
 }
 
 // New returns a dispatcher that owns the chooser. Gone and suspect are called
-// without any lock when an instance refuses a connection or is silent.
-func New(c clock.Clock, p *passer.Passer, chooser *choose.Chooser, gone, suspect func(member.Member)) *Dispatcher {
+// without any lock when an instance refuses a connection or is silent, and lost when a request
+// broke off there.
+func New(c clock.Clock, p *passer.Passer, chooser *choose.Chooser, gone, suspect func(member.Member), lost func(m member.Member, fingerprint string)) *Dispatcher {
 	return &Dispatcher{
 		clock:   c,
 		passer:  p,
 		gone:    gone,
 		suspect: suspect,
+		lost:    lost,
 		chooser: chooser,
 		budgets: make(map[pair]*ratio.Ratio),
 	}
@@ -160,7 +168,9 @@
 	body      *replay
 	tried     []string
 	// maybe says that an attempt before may have run.
-	maybe  bool
+	maybe bool
+	// losses counts the instances that were lost while they had the request.
+	losses int
 	lowest bounds.Bounds
 }
 
@@ -209,6 +219,8 @@
 		s.owner.gone(m)
 	case got.Silent:
 		s.owner.suspect(m)
+	case got.Broke:
+		s.owner.lost(m, s.envelope.Fingerprint)
 	}
 }
 
@@ -218,6 +230,13 @@
 	if !worthRetry(got.Refusal.Reason) || !s.body.whole() {
 		return false
 	}
+	if got.Refusal.Reason == reason.InstanceLost && got.Refusal.Ran != runst.Never {
+		s.losses++
+	}
+	if s.losses > lossesMost {
+		// It may be the request that ends its instances.
+		return false
+	}
 	if !retry.Safe(got.Refusal.Ran, s.envelope.Idempotent) {
 		return false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"bergamotloom.example/claims"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/dispat"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/reason"
@@ -38,6 +39,7 @@
 	dispatch *dispat.Dispatcher
 	rates    rater
 	claims   *claims.Claims
+	marks    *crash.Marks
 	filter   *filter
 	registry metrics.Registry
 	log      *slog.Logger
@@ -51,7 +53,7 @@
 
 // New returns an entry. Config returns the configuration in force, or false if
 // the node may not serve by it; service the name of the node's own service.
-func New(c clock.Clock, current func() (*config.Config, bool), service func() string, running *calls.Calls, d *dispat.Dispatcher, rates rater, made *claims.Claims, registry metrics.Registry, log *slog.Logger) *Entry {
+func New(c clock.Clock, current func() (*config.Config, bool), service func() string, running *calls.Calls, d *dispat.Dispatcher, rates rater, made *claims.Claims, marks *crash.Marks, registry metrics.Registry, log *slog.Logger) *Entry {
 	return &Entry{
 		clock:    c,
 		config:   current,
@@ -60,6 +62,7 @@
 		dispatch: d,
 		rates:    rates,
 		claims:   made,
+		marks:    marks,
 		filter:   newFilter(c),
 		registry: registry,
 		log:      log,
--- /dev/null
+++ b/fleet/crash_test.go
@@ -0,0 +1,68 @@
+package fleet_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bergamotloom.example/fleet"
+	"bergamotloom.example/layout"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/runrec"
+)
+
+// blockedBound is the promise: after two crashes a request is refused
+// everywhere within this time.
+const blockedBound = 2 * time.Second
+
+// crashes counts the runs that ended their process.
+func crashes(t *testing.T, f *fleet.Fleet) int {
+	t.Helper()
+	runs, err := f.Runs()
+	assert.NilError(t, err)
+	count := 0
+	for _, r := range runs {
+		if r.Outcome == runrec.Crashed {
+			count++
+		}
+	}
+	return count
+}
+
+// A request that crashes its targets is refused everywhere after two crashes,
+// however often and wherever its caller sends it again. What was running in
+// one of the crashes is not blamed.
+func TestACrashingRequestIsRefusedEverywhereAfterTwoCrashes(t *testing.T) {
+	f := start(t, layout.New("c1", "c2").WithService("stock", 2, "--crash-mark", "Crash", "--work-millis", "150"))
+	bystander := make(chan string)
+	go func() { bystander <- get(t, f.Instances[0].Callers, "/stock/bystander?bytes=0") }()
+	time.Sleep(30 * time.Millisecond)
+	for _, in := range f.Instances {
+		get(t, in.Callers, "/stock/bad?Crash=1")
+	}
+	<-bystander
+	assert.Assert(t, crashes(t, f) <= 2, "%d crashes", crashes(t, f))
+	for _, in := range f.Instances {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			got := get(t, in.Callers, "/stock/bad?Crash=1")
+			if !strings.Contains(got, string(reason.CrashSuspect)) {
+				return poll.Continue("%s answers %q", in.Name, got)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(blockedBound), poll.WithDelay(10*time.Millisecond))
+	}
+	for _, in := range f.Instances {
+		if !in.Target.Alive() {
+			assert.NilError(t, f.StartTarget(t.Context(), in))
+		}
+	}
+	waitReady(t, f)
+	for _, in := range f.Instances {
+		assert.Assert(t, strings.Contains(get(t, in.Callers, "/stock/bad?Crash=1"), string(reason.CrashSuspect)))
+		assert.Equal(t, get(t, in.Callers, "/stock/bystander?bytes=0"), "")
+	}
+	assert.Assert(t, crashes(t, f) <= 2)
+}
--- a/local/local.go
+++ b/local/local.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -144,6 +145,22 @@
 	return res, true, nil
 }
 
+// RefusesConnections asks the target whether it takes connections. Only a
+// refused one tells that its process has ended.
+func (l *Local) RefusesConnections() bool {
+	host, ok := l.host()
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeoutMillis*time.Millisecond)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", host)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close ends the idle connections to the target.
 func (l *Local) Close() {
 	l.transport.CloseIdleConnections()
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"bergamotloom.example/choose"
 	"bergamotloom.example/claims"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/dispat"
 	"bergamotloom.example/entry"
 	"bergamotloom.example/gossip"
@@ -60,6 +62,7 @@
 	store      *inforc.Store
 	spread     *spread.Spreader
 	calls      *calls.Calls
+	marks      *crash.Marks
 	claims     *claims.Claims
 	target     *local.Local
 	gate       *admit.Admitter
@@ -121,8 +124,12 @@
 	n.gossip = gossip.New(self, n.clock, rand.Uint64(), func(to string, message []byte) {
 		send(to, gossipKind, message)
 	})
-	n.gossip.OnMember = func(member.Member) { n.changed.Store(true) }
-	n.gossip.OnFact = func(key string, version int64, value []byte) { n.spread.OnFact(key, version, value) }
+	n.marks = crash.New(n.clock, life(self), n.publishFor)
+	n.gossip.OnMember = n.memberChanged
+	n.gossip.OnFact = func(key string, version int64, value []byte) {
+		n.spread.OnFact(key, version, value)
+		n.marks.OnFact(key, value)
+	}
 	n.quota = quota.New(self.ID, self.Incarnation, n.clock, rand.Uint64(), func(to string, message []byte) {
 		send(to, quotaKind, message)
 	})
@@ -130,9 +137,9 @@
 	n.spread = spread.New(n.clock, self.ID, store.New(n.platform.Table(), n.clock), n.store, n.gossip, send, n.registry, n.log)
 	n.claims = claims.New(n.clock, n.platform.Table(), n.registry, n.log)
 	chooser := choose.New(n.clock, n.setup.Centre, rand.Uint64())
-	n.dispatcher = dispat.New(n.clock, n.passer, chooser, n.memberGone, n.memberSilent)
-	n.entry = entry.New(n.clock, n.spread.InForce, n.ownService, n.calls, n.dispatcher, n.rates, n.claims, n.registry, n.log)
-	n.runner = runner.New(n.clock, n.gate, n.calls, n.target, n.registry, n.log)
+	n.dispatcher = dispat.New(n.clock, n.passer, chooser, n.memberGone, n.memberSilent, n.requestLost)
+	n.entry = entry.New(n.clock, n.spread.InForce, n.ownService, n.calls, n.dispatcher, n.rates, n.claims, n.marks, n.registry, n.log)
+	n.runner = runner.New(n.clock, n.gate, n.calls, n.target, n.marks, n.registry, n.log)
 	made, err := links.New(n.duties, self.ID, secret, n.registry, n.log, n.receive, n.incarnationOf, n.peerGone)
 	n.links = made
 	n.ports.secure(secret, made.Serve)
@@ -183,10 +190,33 @@
 	if incarnation == 0 {
 		return
 	}
+	n.marks.Proved(life(member.Member{ID: peer, Incarnation: incarnation}))
 	n.gossip.Gone(peer, incarnation)
 	n.quota.Gone(peer, incarnation)
 }
 
+// life names one incarnation of a node.
+func life(m member.Member) string {
+	return m.ID + "/" + strconv.FormatInt(m.Incarnation, 10)
+}
+
+// memberChanged takes news of a member.
+func (n *Node) memberChanged(m member.Member) {
+	n.changed.Store(true)
+	if m.Dead {
+		n.marks.Proved(life(m))
+	}
+}
+
+// requestLost takes note of a request that broke off at a peer.
+func (n *Node) requestLost(m member.Member, fingerprint string) {
+	n.marks.Lost(life(m), fingerprint)
+}
+
+func (n *Node) publishFor(key string, version int64, value []byte, ttlMillis int64) {
+	n.gossip.PublishFor(key, version, value, ttlMillis)
+}
+
 func (n *Node) memberGone(m member.Member) {
 	n.peerGone(m.ID, m.Incarnation)
 }
--- a/passer/passer.go
+++ b/passer/passer.go
@@ -156,6 +156,7 @@
 	a.cancel(errAbandoned)
 	got := reply.Refuse(refuse.New(why).WithRan(ran))
 	got.Gone = gone
+	got.Broke = ran != runst.Never && !got.Silent && ctx.Err() == nil
 	if ran == runst.Never {
 		// Nobody took up the lent allowance.
 		got.Unused = a.envelope.Allowance
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -32,6 +32,8 @@
 	Gone bool
 	// Silent says that the peer's connection made no progress in its bound.
 	Silent bool
+	// Broke says that the peer's connection broke while it had the request.
+	Broke bool
 	// TookMillis is the time from sending to the answer's first byte.
 	TookMillis float64
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -21,6 +21,7 @@
 	"bergamotloom.example/call"
 	"bergamotloom.example/calls"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/envel"
 	"bergamotloom.example/header"
 	"bergamotloom.example/local"
@@ -40,6 +41,8 @@
 	gate   *admit.Admitter
 	calls  *calls.Calls
 	target *local.Local
+	marks  *crash.Marks
+	deaths *deaths
 	log    *slog.Logger
 
 	served  metrics.Counter
@@ -48,12 +51,14 @@
 }
 
 // New returns a runner for the target, whose gate admits the requests.
-func New(c clock.Clock, gate *admit.Admitter, running *calls.Calls, target *local.Local, registry metrics.Registry, log *slog.Logger) *Runner {
+func New(c clock.Clock, gate *admit.Admitter, running *calls.Calls, target *local.Local, marks *crash.Marks, registry metrics.Registry, log *slog.Logger) *Runner {
 	return &Runner{
 		clock:   c,
 		gate:    gate,
 		calls:   running,
 		target:  target,
+		marks:   marks,
+		deaths:  newDeaths(target, marks, log),
 		log:     log,
 		served:  metrics.GetOrRegisterCounter("Gate.Served", registry),
 		refused: metrics.GetOrRegisterCounter("Gate.Refused", registry),
@@ -71,6 +76,10 @@
 	}
 	ctx, cancel := context.WithTimeout(in.Context(), time.Duration(e.TimeoutMillis)*time.Millisecond)
 	defer cancel()
+	if _, refused := r.marks.Refuses(e.Fingerprint); refused {
+		r.refuse(w, refuse.New(reason.CrashSuspect), e, nil)
+		return
+	}
 	pulse := startPulse(w)
 	defer pulse.stop()
 
@@ -111,7 +120,7 @@
 	res, wrote, err := r.target.Send(c.Context(), r.outgoing(in, c))
 	p.stop()
 	if err != nil {
-		r.refuse(w, r.unanswered(c.Context(), wrote, err), c.Envelope, c)
+		r.refuse(w, r.unanswered(c.Context(), c.Envelope.Fingerprint, wrote, err), c.Envelope, c)
 		return false
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -128,12 +137,16 @@
 	w.WriteHeader(res.StatusCode)
 	if err := stream.Copy(w, res.Body); err != nil {
 		r.log.Info("gate: an answer broke off", "Request", c.Envelope.Request, "Error", err)
+		if c.Context().Err() == nil {
+			r.lost(c.Envelope.Fingerprint, true, err)
+		}
 		// Resets the stream, so that the entry sees that the answer isn't
 		// whole.
 		panic(http.ErrAbortHandler)
 	}
 	stream.Trailers(w, &res.Trailer)
 	r.served.Inc(1)
+	r.marks.Answered(c.Envelope.Fingerprint)
 	return true
 }
 
@@ -156,7 +169,7 @@
 }
 
 // unanswered says what is known of a request that the target didn't answer.
-func (r *Runner) unanswered(ctx context.Context, wrote bool, err error) refuse.Refusal {
+func (r *Runner) unanswered(ctx context.Context, fingerprint string, wrote bool, err error) refuse.Refusal {
 	why := reason.InstanceLost
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -165,9 +178,7 @@
 		why = reason.Cancelled
 	default:
 		r.log.Warn("gate: the target didn't answer", "Error", err)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.target.Gone()
-		}
+		r.lost(fingerprint, wrote, err)
 	}
 	ran := runst.Maybe
 	if !wrote {
@@ -176,6 +187,16 @@
 	return refuse.New(why).WithRan(ran)
 }
 
+// lost looks into a request that broke off for no reason of the caller's.
+func (r *Runner) lost(fingerprint string, wrote bool, err error) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		r.target.Gone()
+	case wrote:
+		r.deaths.suspect(fingerprint)
+	}
+}
+
 // shed tells whether the target refused the request before it ran any of it.
 func shed(res *http.Response) bool {
 	return res.StatusCode == http.StatusServiceUnavailable &&
