Never put two claims of one row into one transaction

Cause: two sendings of one request at the same node and moment stood in one batch. Both writes were conditional on the row's absence, the platform checks all conditions before it writes, and so both claims were granted: the request ran twice.

Answers carry Loom-Request, so that a caller's sending can be found in the targets' records.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -206,8 +206,32 @@
 	}
 }
 
-// writeBegins claims a batch: all in one transaction, or else each alone.
+// writeBegins claims a batch: all in one transaction, or else each alone. The
+// claims of one row at the same moment go one after another, because within a
+// transaction each would find the row as it was before.
 func (c *Claims) writeBegins(ctx context.Context, batch []*begin) {
+	together, repeated := split(batch)
+	c.writeTogether(ctx, together)
+	for _, b := range repeated {
+		b.done <- c.transact(ctx, []*begin{b})
+	}
+}
+
+// split takes the first claim of each row out of a batch.
+func split(batch []*begin) (first, repeated []*begin) {
+	seen := make(map[string]bool, len(batch))
+	for _, b := range batch {
+		if seen[b.claim.Key] {
+			repeated = append(repeated, b)
+			continue
+		}
+		seen[b.claim.Key] = true
+		first = append(first, b)
+	}
+	return first, repeated
+}
+
+func (c *Claims) writeTogether(ctx context.Context, batch []*begin) {
 	together := c.transact(ctx, batch)
 	if len(batch) == 1 || together.applied || !together.known {
 		for _, b := range batch {
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -39,6 +39,8 @@
 		return refuse.New(reason.BadRequest).WithDetail("The chain of calls is too deep."), true
 	}
 	k.envelope = e
+	// The caller can name its request by this to those who run the targets.
+	k.writer.Header().Set(header.Request, e.Request)
 	return pass()
 }
 
