--- /dev/null
+++ b/cborrp/cborrp_test.go
@@ -0,0 +1,61 @@
+package cborrp_test
+
+import (
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/cborrp"
+)
+
+const limit = 1000
+
+type echo struct{}
+
+// Letters answers with a text of that length.
+func (echo) Letters(count int, out *string) error {
+	*out = strings.Repeat("a", count)
+	return nil
+}
+
+// Length answers with the length of the text.
+func (echo) Length(text string, out *int) error {
+	*out = len(text)
+	return nil
+}
+
+// serve returns one end of a connection whose other end a server reads.
+func serve(t *testing.T) net.Conn {
+	t.Helper()
+	s := rpc.NewServer()
+	assert.NilError(t, s.RegisterName("Echo", echo{}))
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	go s.ServeCodec(cborrp.New(far, limit))
+	return near
+}
+
+func TestCallsThatAreTooLargeFailAlone(t *testing.T) {
+	c := rpc.NewClientWithCodec(cborrp.New(serve(t), limit))
+	var letters string
+	var length int
+	assert.ErrorContains(t, c.Call("Echo.Letters", 2*limit, &letters), "over the limit")
+	assert.ErrorContains(t, c.Call("Echo.Length", strings.Repeat("a", limit), &length), "over the limit")
+	assert.ErrorContains(t, c.Call("Echo.Absent", 1, &length), "can't find")
+	assert.NilError(t, c.Call("Echo.Length", "abc", &length))
+	assert.Equal(t, length, 3)
+}
+
+func TestBadBytesEndTheConnection(t *testing.T) {
+	for _, bytes := range []string{
+		"\xff\xff\xff\xff", "\x00\x00\x00\x01\xff", "GET / HTTP/1.1\r\n\r\n", "\x00\x00\x10\x01",
+	} {
+		conn := serve(t)
+		_, _ = conn.Write([]byte(bytes))
+		_, err := conn.Read(make([]byte, 1))
+		assert.ErrorContains(t, err, "EOF")
+	}
+}
--- /dev/null
+++ b/chord/chord_test.go
@@ -0,0 +1,53 @@
+package chord_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/chord"
+)
+
+func filled(n int) *chord.Ring {
+	r := &chord.Ring{}
+	for i := range n {
+		r.Add(fmt.Sprint("node", i))
+		r.Add(fmt.Sprint("node", i))
+	}
+	return r
+}
+
+func TestEveryNodeIsAFingerOfEquallyMany(t *testing.T) {
+	r := filled(100)
+	counts := map[string]int{}
+	for i := range r.Len() {
+		for _, f := range r.Fingers(r.At(i)) {
+			counts[f]++
+		}
+	}
+	for i := range r.Len() {
+		assert.Equal(t, counts[r.At(i)], 7)
+	}
+}
+
+func TestNeighboursGoAllTheWayRound(t *testing.T) {
+	r := filled(5)
+	after := r.After("node3", 9)
+	before := r.Before("node3", 9)
+	slices.Reverse(before)
+	assert.Equal(t, len(after), 4)
+	assert.DeepEqual(t, after, before)
+}
+
+func TestOnlyTheKeysOfALeavingNodeMove(t *testing.T) {
+	r, smaller := filled(20), filled(20)
+	smaller.Remove("node7")
+	for i := range 200 {
+		key := fmt.Sprint("key", i)
+		homes := r.Home(key, 3)
+		left := slices.DeleteFunc(slices.Clone(homes), func(id string) bool { return id == "node7" })
+		assert.DeepEqual(t, smaller.Home(key, 3)[:len(left)], left)
+	}
+}
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -33,10 +33,10 @@
 func overheard() [][]byte {
 	w := newNet(5, 0.1)
 	var texts [][]byte
-	w.overhear = func(text []byte) { texts = append(texts, text) }
+	w.Overhear = func(_, _ string, text []byte) { texts = append(texts, text) }
 	w.nodes[1].Publish("version", 1, make([]byte, 500))
 	w.nodes[2].Join(id(4))
-	w.stop(3, 4000)
-	w.run(6000, nil)
+	w.Stop(id(3), 4000)
+	w.Run(6000, nil)
 	return texts[:min(len(texts), 400)]
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -21,7 +21,7 @@
 	for _, n := range []int{16, 128, 1024} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			w := newNet(n, 0.1)
-			w.run(1000, nil)
+			w.Run(1000, nil)
 			for v := int64(1); v <= 3; v++ {
 				w.nodes[v].Publish("version", v, []byte("small"))
 				w.nodes[v].Publish("file", v, make([]byte, 2000))
@@ -30,7 +30,7 @@
 				})
 				t.Logf("change %d at all %d nodes: %d ms", v, n, took)
 			}
-			w.stop(5, forGood)
+			w.Stop(id(5), forGood)
 			took := w.since(t, deathMillis, func(g *gossip.Gossip) bool {
 				m, _ := g.Member(id(5))
 				return !m.TakesWork()
@@ -51,45 +51,30 @@
 			}
 		}
 	}
-	w.run(2000, nil)
+	w.Run(2000, nil)
 	pauses := 20
 	for i := range pauses {
-		w.stop(i*3, 1000)
-		w.run(1500, nil)
+		w.Stop(id(i*3), 1000)
+		w.Run(1500, nil)
 	}
 	t.Logf("%d suspicions at %d nodes in 30 s", len(raised), len(w.nodes))
 	assert.Assert(t, len(raised) <= pauses)
 	w.since(t, spreadMillis, isWhole(len(w.nodes)))
 }
 
-// isWhole tells whether a settled node takes all n members for alive.
-func isWhole(n int) func(*gossip.Gossip) bool {
-	return func(g *gossip.Gossip) bool {
-		count := 0
-		for _, m := range g.Members() {
-			if m.TakesWork() {
-				count++
-			}
-		}
-		return g.Settled() && count == n
-	}
-}
-
 func TestCutDataCentreGoesOnAndMerges(t *testing.T) {
 	for _, n := range []int{16, 128} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			w := newNet(n, 0.1)
-			w.run(2000, nil)
+			w.Run(2000, nil)
 			w.nodes[0].Publish("version", 1, nil)
 			w.since(t, spreadMillis, hasFact("version", 1))
-			w.isCut = func(from, to int) bool {
-				return (from%centreCount == 0) != (to%centreCount == 0)
-			}
-			w.run(60_000, nil)
+			w.cut(n)
+			w.Run(60_000, nil)
 			// The cut centre held its version; the others' is the newer one.
 			w.nodes[1].Publish("version", 3, nil)
 			w.nodes[0].Publish("version", 2, nil)
-			w.run(spreadMillis, nil)
+			w.Run(spreadMillis, nil)
 			for i, g := range w.nodes {
 				want := int64(3)
 				if i%centreCount == 0 {
@@ -97,7 +82,7 @@
 				}
 				assert.Assert(t, hasFact("version", want)(g), "node %d", i)
 			}
-			w.isCut = func(int, int) bool { return false }
+			w.heal()
 			took := w.since(t, spreadMillis, hasFact("version", 3))
 			t.Logf("change at all %d nodes %d ms after the cut healed", n, took)
 			took = w.since(t, 2*spreadMillis, isWhole(n))
@@ -109,25 +94,25 @@
 func TestNewNodeJoinsThroughAnyPeer(t *testing.T) {
 	w := newNet(128, 0.1)
 	w.nodes[3].Publish("version", 7, nil)
-	w.run(3000, nil)
-	i := w.add(record(128))
-	assert.Assert(t, !w.nodes[i].Settled())
-	w.nodes[i].Join(id(77))
-	w.run(2*spreadMillis, w.nodes[i].Settled)
-	assert.Assert(t, isWhole(129)(w.nodes[i]))
-	assert.Assert(t, hasFact("version", 7)(w.nodes[i]))
+	w.Run(3000, nil)
+	g := w.add(record(128))
+	assert.Assert(t, !g.Settled())
+	g.Join(id(77))
+	w.Run(2*spreadMillis, g.Settled)
+	assert.Assert(t, isWhole(129)(g))
+	assert.Assert(t, hasFact("version", 7)(g))
 	w.since(t, spreadMillis, isWhole(129))
 }
 
 func TestWokenNodeServesNothingBeforeItCaughtUp(t *testing.T) {
 	w := newNet(32, 0.1)
 	w.nodes[3].Publish("version", 1, nil)
-	w.run(3000, nil)
-	w.stop(9, 20_000)
-	w.run(2000, nil)
+	w.Run(3000, nil)
+	w.Stop(id(9), 20_000)
+	w.Run(2000, nil)
 	w.nodes[3].Publish("version", 2, nil)
 	for range 40_000 {
-		w.run(1, nil)
+		w.Run(1, nil)
 		if w.nodes[9].Settled() {
 			assert.Assert(t, hasFact("version", 2)(w.nodes[9]))
 		}
@@ -137,9 +122,9 @@
 
 func TestProvedDeathEndsOnlyItsIncarnation(t *testing.T) {
 	w := newNet(16, 0.1)
-	w.run(2000, nil)
+	w.Run(2000, nil)
 	w.nodes[3].Gone(id(9), startMillis)
-	w.run(spreadMillis, w.nodes[9].Ended)
+	w.Run(spreadMillis, w.nodes[9].Ended)
 	assert.Assert(t, w.nodes[9].Ended())
 	assert.Assert(t, !w.nodes[9].Restart(startMillis))
 	assert.Assert(t, w.nodes[9].Restart(startMillis+1))
@@ -149,8 +134,8 @@
 
 func TestDeadAreForgottenEverywhereAndStayAway(t *testing.T) {
 	w := newNet(6, 0)
-	w.run(2000, nil)
-	w.stop(5, forGood)
+	w.Run(2000, nil)
+	w.Stop(id(5), forGood)
 	w.nodes[0].Gone(id(5), startMillis)
 	w.nodes[1].PublishFor("mark", 1, []byte("bad request"), 10_000)
 	w.since(t, spreadMillis, hasFact("mark", 1))
@@ -159,10 +144,9 @@
 		_, known := g.Member(id(5))
 		return !known
 	}
-	w.advance(2 * 60 * 60 * 1000)
-	w.due[w.clock.Now()] = w.ticks()
+	w.Leap(2 * 60 * 60 * 1000)
 	w.since(t, spreadMillis, isForgotten)
-	w.run(60_000, nil)
+	w.Run(60_000, nil)
 	assert.Assert(t, w.all(isForgotten))
 }
 
@@ -176,10 +160,10 @@
 		}
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			act(t, w)
-			w.run(int64(rapid.IntRange(0, 4000).Draw(t, "millis")), nil)
+			w.Run(int64(rapid.IntRange(0, 4000).Draw(t, "millis")), nil)
 		}
-		w.isCut = func(int, int) bool { return false }
-		if !w.run(4*spreadMillis, w.agrees) {
+		w.heal()
+		if !w.Run(4*spreadMillis, w.agrees) {
 			t.Fatalf("the nodes still differ")
 		}
 	})
@@ -194,13 +178,13 @@
 		version := rapid.Int64Range(1, 9).Draw(t, "version")
 		w.nodes[i].Publish("version", version, []byte{byte(version)})
 	case 1:
-		w.stop(i, int64(rapid.IntRange(100, 5000).Draw(t, "pause")))
+		w.Stop(id(i), int64(rapid.IntRange(100, 5000).Draw(t, "pause")))
 	case 2:
-		w.isCut = func(from, to int) bool { return (from == i) != (to == i) }
+		w.IsCut = func(from, to string) bool { return (from == id(i)) != (to == id(i)) }
 	case 3:
 		w.nodes[other].Gone(id(i), w.nodes[i].Self().Incarnation)
 	case 4:
-		w.nodes[i].Restart(w.clock.Now())
+		w.nodes[i].Restart(w.Clock().Now())
 	case 5:
 		w.nodes[i].Update(member.Member.WithLeaving)
 	}
