--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -47,6 +47,7 @@
 		benchVerb(),
 		loadVerb(),
 		overheadVerb(),
+		slopesVerb(),
 		standinVerb(),
 		versionVerb(),
 	}
