Send heartbeats only forward, and look past a quiet node at once

Cause: heartbeats both ways were 4 of the 4.4 messages that a node sends a second, and each costs over 300 bytes on the wire with its answer and the headers of TCP and IP. And when several neighbours on the ring were lost together, they were found one after the other.

Now a node sends heartbeats to the next one, which watches it. While that watcher's nearest is quiet it asks the six before it directly. A relay tells the asker at once that it got the question, so that the asker knows that it isn't deaf itself. After a backlog, nodes compare every second for a while.

The fuzz target found that a node's own record, proved dead and nearly forgotten, was swept away, after which the next tick failed. A panic of a callback no longer turns into one of the mutex.

--- a/gossip/entry.go
+++ b/gossip/entry.go
@@ -69,11 +69,17 @@
 	return e.endsAt != 0 && now >= e.endsAt
 }
 
+// leftMillis returns how long others shall remember the entry, 0 for good. Of
+// its own record, a node that was proved dead doesn't know that.
 func (e *entry) leftMillis(now int64) int64 {
-	if e.endsAt == 0 {
+	switch {
+	case e.endsAt != 0:
+		return max(e.endsAt-now, 1)
+	case isPassing(e.member):
+		return rememberMillis
+	default:
 		return 0
 	}
-	return max(e.endsAt-now, 1)
 }
 
 // version returns one hash of key and version.
@@ -168,7 +174,8 @@
 	m.Centre = g.word(m.Centre)
 	m.Region = g.word(m.Region)
 	e := &entry{key: keyOfMember(m.ID), mark: markOfMember(m), member: m}
-	if m.Suspect || m.Dead {
+	// The node's own record stays, whatever became of it.
+	if isPassing(m) && m.ID != g.self {
 		e.endsAt = g.clock.Now() + min(max(leftMillis, 1), rememberMillis)
 	}
 	if old, ok := g.entries[e.key]; ok && old.member.Incarnation == m.Incarnation {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -2,10 +2,10 @@
 // on what changes: members, their deaths, and versioned facts.
 //
 // Every node holds the record of every member and every fact. Nodes lie on a
-// ring of hashed positions (package chord). Each sends a heartbeat to its two
-// neighbours, watches them, and suspects the one that falls silent and that
-// nobody else reaches either. A new entry is pushed in batches to a few
-// random peers among neighbours and fingers; the hashes of recent entries
+// ring of hashed positions (package chord). Each sends a heartbeat to the next
+// one, watches the one before it, and suspects it when it falls silent and
+// nobody else reaches it either. A new entry is pushed in batches to a few
+// random peers among its fingers; the hashes of recent entries
 // ride on heartbeats, so that who missed one asks for it; and now and then two
 // peers compare digests of all that they know (package digest) and exchange
 // what differs.
@@ -79,6 +79,7 @@
 	mergeAt   int64
 	sweptAt   int64
 	heardAt   int64
+	busyUntil int64
 	badCount  int64
 	outbox    []func()
 	draining  bool
@@ -357,11 +358,15 @@
 	for len(g.outbox) > 0 {
 		work := g.outbox
 		g.outbox = nil
-		g.mutex.Unlock()
-		for _, do := range work {
-			do()
-		}
-		g.mutex.Lock()
+		g.handOut(work)
 	}
 	g.draining = false
 }
+
+func (g *Gossip) handOut(work []func()) {
+	g.mutex.Unlock()
+	defer g.mutex.Lock()
+	for _, do := range work {
+		do()
+	}
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -18,8 +18,10 @@
 )
 
 func TestChangeAndDeathDespiteLoss(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{16, 128, 1024} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			w := newNet(n, 0.1)
 			w.Run(1000, nil)
 			for v := int64(1); v <= 3; v++ {
@@ -41,6 +43,7 @@
 }
 
 func TestPausesAndLossKillNobody(t *testing.T) {
+	t.Parallel()
 	w := newNet(64, 0.1)
 	raised := map[member.Member]bool{}
 	for _, g := range w.nodes {
@@ -63,8 +66,10 @@
 }
 
 func TestCutDataCentreGoesOnAndMerges(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{16, 128} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			w := newNet(n, 0.1)
 			w.Run(2000, nil)
 			w.nodes[0].Publish("version", 1, nil)
@@ -92,6 +97,7 @@
 }
 
 func TestNewNodeJoinsThroughAnyPeer(t *testing.T) {
+	t.Parallel()
 	w := newNet(128, 0.1)
 	w.nodes[3].Publish("version", 7, nil)
 	w.Run(3000, nil)
@@ -105,6 +111,7 @@
 }
 
 func TestWokenNodeServesNothingBeforeItCaughtUp(t *testing.T) {
+	t.Parallel()
 	w := newNet(32, 0.1)
 	w.nodes[3].Publish("version", 1, nil)
 	w.Run(3000, nil)
@@ -121,6 +128,7 @@
 }
 
 func TestProvedDeathEndsOnlyItsIncarnation(t *testing.T) {
+	t.Parallel()
 	w := newNet(16, 0.1)
 	w.Run(2000, nil)
 	w.nodes[3].Gone(id(9), startMillis)
@@ -133,6 +141,7 @@
 }
 
 func TestDeadAreForgottenEverywhereAndStayAway(t *testing.T) {
+	t.Parallel()
 	w := newNet(6, 0)
 	w.Run(2000, nil)
 	w.Stop(id(5), forGood)
@@ -153,6 +162,7 @@
 // TestNothingOldComesBack runs random histories and checks at every change
 // that a node takes that it's newer than what the node had.
 func TestNothingOldComesBack(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newNet(6, 0.2)
 		for i, g := range w.nodes {
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -10,7 +10,7 @@
 	// pauseMillis is the gap between two ticks from which on the node takes
 	// itself for paused.
 	pauseMillis = 1000
-	// beatMillis is the time between heartbeats to a neighbour.
+	// beatMillis is the time between heartbeats to the next node.
 	beatMillis = 500
 	// quietMillis is how long a watched member may be silent before it's
 	// probed, and suspectMillis before it's suspected.
@@ -22,9 +22,8 @@
 	doubtMillis = 800
 	// relayCount is how many others are asked to probe a quiet member.
 	relayCount = 3
-	// lookPast is how many members on either side may be watched at once: the
-	// nearest, and further ones while the nearer are quiet.
-	lookPast = 4
+	// lookPast is how many members are watched while the nearest is quiet.
+	lookPast = 6
 	// smallFleet is the number of members up to which a node that hears from
 	// nobody suspects the others. In a larger fleet the fault is its own.
 	smallFleet = 32
@@ -37,8 +36,9 @@
 	id       string
 	since    int64
 	probedAt int64
-	// isDirect says that nobody else is asked to probe the member.
-	isDirect bool
+	// isAsked says that the member doesn't send heartbeats here, and is asked
+	// for a life sign all the time.
+	isAsked bool
 }
 
 // noticePause starts all watches afresh if the node itself stood still: the
@@ -58,37 +58,26 @@
 	}
 }
 
-// beat sends the heartbeats to the neighbours on the ring.
+// beat sends the heartbeat to the next node on the ring.
 func (g *Gossip) beat(now int64) {
-	g.rewatch(now)
 	if now-g.beatAt < beatMillis || g.isEnded() {
 		return
 	}
 	g.beatAt = now
-	var ids []string
-	for _, w := range g.watches {
-		ids = append(ids, w.id)
-	}
-	if len(ids) > 0 {
-		g.post(message{Beat: true, Recent: g.recentBriefs(now)}, ids...)
-	}
+	g.post(message{Recent: g.recentBriefs(now)}, g.ring.After(g.self, 1)...)
 }
 
-// rewatch works out whom to watch: on either side the nearest member that
-// isn't quiet, and the quiet ones before it.
+// rewatch works out whom to watch: the node before this one on the ring, which
+// sends it heartbeats, and while that is quiet several more before it. These
+// may have gone with it, and don't send heartbeats here.
 func (g *Gossip) rewatch(now int64) {
 	var next []watch
-	for _, side := range [][]string{
-		g.ring.After(g.self, lookPast), g.ring.Before(g.self, lookPast),
-	} {
-		for _, id := range side {
-			w := g.watchOf(id, now)
-			if !slices.ContainsFunc(next, func(o watch) bool { return o.id == id }) {
-				next = append(next, w)
-			}
-			if g.silence(w, now) < quietMillis {
-				break
-			}
+	for i, id := range g.ring.Before(g.self, lookPast) {
+		w := g.watchOf(id, now)
+		w.isAsked = i > 0
+		next = append(next, w)
+		if i == 0 && g.silence(w, now) < quietMillis {
+			break
 		}
 	}
 	g.watches = next
@@ -103,10 +92,6 @@
 	return watch{id: id, since: now}
 }
 
-func (g *Gossip) isWatched(id string) bool {
-	return slices.ContainsFunc(g.watches, func(w watch) bool { return w.id == id })
-}
-
 // silence returns for how long a watched member hasn't been heard.
 func (g *Gossip) silence(w watch, now int64) int64 {
 	last := w.since
@@ -118,10 +103,11 @@
 
 // watchOver probes the quiet among the watched and suspects the silent.
 func (g *Gossip) watchOver(now int64) {
+	g.rewatch(now)
 	for i := range g.watches {
 		w := &g.watches[i]
 		silent := g.silence(*w, now)
-		if silent >= quietMillis {
+		if silent >= quietMillis || w.isAsked {
 			g.probeAgain(w, now)
 		}
 		if silent >= suspectMillis {
@@ -149,7 +135,7 @@
 	if !g.mayDoubt(m.ID) {
 		return
 	}
-	g.doubts = append(g.doubts, watch{id: m.ID, since: now, probedAt: now, isDirect: true})
+	g.doubts = append(g.doubts, watch{id: m.ID, since: now, probedAt: now, isAsked: true})
 	g.post(message{
 		Probe:  &probe{Kind: probePing},
 		People: []wireMember{toWire(m, leftMillis)},
@@ -185,7 +171,7 @@
 	}
 	w.probedAt = now
 	g.post(message{Probe: &probe{Kind: probePing}}, w.id)
-	if w.isDirect {
+	if w.isAsked && g.silence(*w, now) < quietMillis {
 		return
 	}
 	relays := g.pickPeers(relayCount, w.id)
@@ -217,6 +203,8 @@
 			return nil
 		}
 		g.post(message{Probe: &probe{Kind: probePing, Origin: from}}, p.About)
+		// This one's life sign tells the sender that it isn't deaf itself.
+		g.post(message{}, from)
 	case probeAck:
 		g.takeAck(p)
 	}
--- a/gossip/spread.go
+++ b/gossip/spread.go
@@ -11,6 +11,8 @@
 	// comparisons mend what that misses.
 	backlog          = 64
 	backlogPushCount = 2
+	// busyMillis is how long after a backlog the node compares more often.
+	busyMillis = 10_000
 	// batchBytes is about how much one batch of entries may take.
 	batchBytes = 16 << 10
 	// inlineBytes is the size of the largest value that is pushed as it is.
@@ -46,8 +48,7 @@
 	if m.Walk != nil {
 		g.step(from, &answer, *m.Walk)
 	}
-	isOneSided := m.Beat && !g.isWatched(from)
-	if isOneSided || !answer.isEmpty() {
+	if !answer.isEmpty() {
 		g.post(answer, from)
 	}
 }
@@ -90,6 +91,7 @@
 	count := pushCount
 	if len(g.fresh) > backlog {
 		count = backlogPushCount
+		g.busyUntil = g.clock.Now() + busyMillis
 	}
 	peers := g.pickPeers(count, "")
 	if len(peers) == 0 {
--- a/gossip/walk.go
+++ b/gossip/walk.go
@@ -11,6 +11,8 @@
 	// catchUpMillis while the node isn't settled or the last one didn't end.
 	compareMillis = 5000
 	catchUpMillis = 400
+	// busyCompareMillis is the time between comparisons after a backlog.
+	busyCompareMillis = 1000
 	// mergeMillis is the time between comparisons of a node with a suspect,
 	// which may live on behind a cut. In a large fleet it's longer: all nodes
 	// together make one in fleetMergeMillis.
@@ -27,8 +29,11 @@
 // compare begins a walk when one is due.
 func (g *Gossip) compare(now int64) {
 	pace := int64(compareMillis)
-	if !g.settled || g.walking {
+	switch {
+	case !g.settled || g.walking:
 		pace = catchUpMillis
+	case now < g.busyUntil:
+		pace = busyCompareMillis
 	}
 	if now-g.walkAt >= pace {
 		g.walkAt = now
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -23,16 +23,13 @@
 // take no space.
 type message struct {
 	// Incarnation is the sender's: the message is a life sign of it.
-	Incarnation int64 `cbor:"1,keyasint"`
-	// Beat says that the sender takes the receiver for its neighbour on the
-	// ring and expects to hear from it in turn.
-	Beat   bool         `cbor:"2,keyasint,omitempty"`
-	Probe  *probe       `cbor:"3,keyasint,omitempty"`
-	Walk   *walk        `cbor:"4,keyasint,omitempty"`
-	Recent *briefs      `cbor:"5,keyasint,omitempty"`
-	Wants  []uint64     `cbor:"6,keyasint,omitempty"`
-	People []wireMember `cbor:"7,keyasint,omitempty"`
-	Facts  []wireFact   `cbor:"8,keyasint,omitempty"`
+	Incarnation int64        `cbor:"1,keyasint"`
+	Probe       *probe       `cbor:"2,keyasint,omitempty"`
+	Walk        *walk        `cbor:"3,keyasint,omitempty"`
+	Recent      *briefs      `cbor:"4,keyasint,omitempty"`
+	Wants       []uint64     `cbor:"5,keyasint,omitempty"`
+	People      []wireMember `cbor:"6,keyasint,omitempty"`
+	Facts       []wireFact   `cbor:"7,keyasint,omitempty"`
 }
 
 type probeKind uint8
--- a/slope/slope.go
+++ b/slope/slope.go
@@ -11,7 +11,7 @@
 
 const (
 	startMillis = 1_000_000
-	warmMillis  = 4_000
+	warmMillis  = 8_000
 	spanMillis  = 10_000
 
 	smallValue = 100
