--- a/bench/tally.go
+++ b/bench/tally.go
@@ -157,13 +157,17 @@
 	return float64(served) / min(float64(asked), able)
 }
 
-// inverted returns the part of the critical requests that a service refused
+// inverted returns the part of the critical requests that some service refused
 // while it started less important ones.
 func (t *tally) inverted() float64 {
 	refused, asked := 0, 0
+	for _, o := range t.orders {
+		if t.world.size.paths[o.path].rank == rank.Critical {
+			asked++
+		}
+	}
 	for _, b := range t.bins {
 		for s := range b.refused {
-			asked += b.started[s][rank.Critical] + b.refused[s][rank.Critical]
 			if b.started[s][rank.Normal]+b.started[s][rank.Sheddable] > 0 {
 				refused += b.refused[s][rank.Critical]
 			}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -28,7 +28,7 @@
 	startShare = 0.1
 	// slowStartMillis is how long a new instance gets less than its part.
 	slowStartMillis = 5000
-	// firstTookMillis is the time assumed of an instance before any answer.
+	// firstTookMillis is the time assumed of a service before any answer.
 	firstTookMillis = 1
 )
 
@@ -40,19 +40,21 @@
 	random   *rand.Rand
 	peers    map[string]*peer
 	services map[string]*pool
-	updated  bool
 }
 
-// pool holds the instances of one service.
+// pool holds the instances of one service, and the usual time of its answers
+// in milliseconds.
 type pool struct {
 	local  []*peer
 	remote []*peer
+	took   float64
 }
 
+// peer is what is known of one instance. Its time is 0 before any answer.
 type peer struct {
 	member      member.Member
+	pool        *pool
 	since       float64
-	cold        bool
 	outstanding int
 	took        float64
 	open        float64
@@ -73,17 +75,16 @@
 }
 
 // Update takes the list of all members. Those that take no work are left out.
-// Instances that appear after the first list begin with less work.
+// Instances that started lately begin with less work.
 func (c *Chooser) Update(members []member.Member) {
-	known := c.peers
+	known, pools := c.peers, c.services
 	c.peers = make(map[string]*peer, len(members))
 	c.services = map[string]*pool{}
 	for _, m := range members {
 		if m.TakesWork() {
-			c.add(c.peerOf(known, m))
+			c.add(c.peerOf(known, m), pools[m.Service])
 		}
 	}
-	c.updated = true
 }
 
 func (c *Chooser) peerOf(known map[string]*peer, m member.Member) *peer {
@@ -93,16 +94,20 @@
 		return p
 	}
 	now := c.clock.Fine()
-	return &peer{member: m, since: now, cold: c.updated, took: firstTookMillis, open: 1, heard: now}
+	return &peer{member: m, since: min(float64(m.Incarnation), now), open: 1, heard: now}
 }
 
-func (c *Chooser) add(p *peer) {
+func (c *Chooser) add(p *peer, before *pool) {
 	c.peers[p.member.ID] = p
 	s, ok := c.services[p.member.Service]
 	if !ok {
-		s = &pool{}
+		s = &pool{took: firstTookMillis}
+		if before != nil {
+			s.took = before.took
+		}
 		c.services[p.member.Service] = s
 	}
+	p.pool = s
 	if p.member.Centre == c.centre {
 		s.local = append(s.local, p)
 		return
@@ -238,7 +243,14 @@
 // score is the expected time of one more request, so a lower one is better.
 func (p *peer) score(now float64) float64 {
 	open := max(p.openAt(now), leastOpen)
-	return float64(p.outstanding+1) * p.took / (open * p.warmth(now))
+	return float64(p.outstanding+1) * p.usualTook() / (open * p.warmth(now))
+}
+
+func (p *peer) usualTook() float64 {
+	if p.took == 0 {
+		return p.pool.took
+	}
+	return p.took
 }
 
 func (p *peer) openAt(now float64) float64 {
@@ -247,17 +259,11 @@
 
 // warmth grows from startShare to 1 during the slow start.
 func (p *peer) warmth(now float64) float64 {
-	if !p.cold {
-		return 1
-	}
 	age := (now - p.since) / slowStartMillis
 	return min(startShare+age*(1-startShare), 1)
 }
 
 func (p *peer) learnTook(millis float64) {
-	if p.took == firstTookMillis {
-		p.took = millis
-		return
-	}
-	p.took += (millis - p.took) * tookShare
+	p.took = p.usualTook() + (millis-p.usualTook())*tookShare
+	p.pool.took += (millis - p.pool.took) * tookShare
 }
--- a/early/early.go
+++ b/early/early.go
@@ -68,12 +68,15 @@
 	return share, mark < share
 }
 
+// steps returns the level of the team at the service. Only the threshold itself
+// may close the critical rank, not what is known of the team.
 func (f *Filter) steps(service, team string, now float64) float64 {
-	steps := f.services[service].current(now, full)
-	if k, ok := f.below[teamService{service, team}]; ok {
-		steps -= k.current(now, 0)
+	threshold := f.services[service].current(now, full)
+	k, ok := f.below[teamService{service, team}]
+	if !ok {
+		return threshold
 	}
-	return steps
+	return max(threshold-k.current(now, 0), min(threshold, level.Steps))
 }
 
 // Learn takes what an answer told: the service whose gate has the lowest
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -251,13 +251,17 @@
 
 // tooLate tells whether the target isn't expected to answer before the
 // deadline. While other requests wait for the slot, most of the usual times
-// must fit in; otherwise a short one is enough.
+// must fit in, or half of them for a critical request; otherwise a short one
+// is enough.
 func (g *Gate) tooLate(t *ticket.Ticket, now float64) bool {
-	need := g.took - 2*g.tookSpread
-	if g.queue.len() > 0 {
-		need = g.took + g.tookSpread
+	need := g.took + g.tookSpread
+	switch {
+	case g.queue.len() == 0:
+		need = max(g.took-2*g.tookSpread, 0)
+	case t.Rank == rank.Critical:
+		need = g.took
 	}
-	return now+max(need, 0) > float64(t.DeadlineMillis)
+	return now+need > float64(t.DeadlineMillis)
 }
 
 func (g *Gate) learnTook(millis float64) {
--- a/gate/limiter.go
+++ b/gate/limiter.go
@@ -7,15 +7,21 @@
 	leastEnded = 20
 	// slowFactor is how much longer than its base a request may take in the
 	// target before the limit is doubted.
-	slowFactor = 2
+	slowFactor = 1.4
+	// trialEnded is how many requests a trial is judged by, and the times
+	// before it.
+	trialEnded = 60
 	// trialPart is the part of the limit that a trial leaves.
-	trialPart = 0.8
+	trialPart = 0.7
 	// helpedPart is the part of the earlier time that a trial must reach for
 	// the lower limit to stay.
-	helpedPart = 0.9
-	// baseDrift lets the base follow a target that got slower for good, by
-	// this part in each judgement.
-	baseDrift = 0.01
+	helpedPart = 0.85
+	// skipFactor is how many requests end, as a multiple of the limit, before
+	// those of a trial are measured.
+	skipFactor = 1.5
+	// baseShare is how far a judgement at easyUse or less moves the base.
+	baseShare = 0.1
+	easyUse   = 0.8
 	// growPart is what the limit gains when the slots were in full use.
 	growPart = 0.05
 	// startGrow is what it gains with each request that ends in full use
@@ -74,25 +80,27 @@
 
 // judge takes the use of the slots in the window that is over.
 func (l *limiter) judge(busy float64) {
-	if l.count < leastEnded {
+	if l.count < leastEnded || l.before > 0 && l.count < trialEnded {
 		return
 	}
 	mean := l.sum / float64(l.count)
-	l.sum, l.count = 0, 0
 	switch {
 	case l.before > 0:
 		l.endTrial(mean)
-	case l.base > 0 && mean > l.base*slowFactor && busy >= fullUse:
-		l.beginTrial(mean)
-	default:
+	case l.base == 0 || mean <= l.base*slowFactor || busy < fullUse:
 		l.grow(mean, busy)
+	case l.count < trialEnded:
+		return
+	default:
+		l.beginTrial(mean)
 	}
+	l.sum, l.count = 0, 0
 }
 
 func (l *limiter) beginTrial(mean float64) {
 	l.before, l.from, l.tried = mean, l.limit, true
 	l.limit = max(l.limit*trialPart, leastLimit)
-	l.skip = int(l.from)
+	l.skip = int(l.from * skipFactor)
 }
 
 func (l *limiter) endTrial(mean float64) {
@@ -104,16 +112,20 @@
 }
 
 func (l *limiter) grow(mean, busy float64) {
-	l.base = l.nextBase(mean)
+	l.learnBase(mean, busy)
 	if busy < fullUse {
 		return
 	}
 	l.limit = min(l.limit+max(l.limit*growPart, 1), l.slots)
 }
 
-func (l *limiter) nextBase(mean float64) float64 {
-	if l.base == 0 || mean < l.base {
-		return mean
+// learnBase takes the lowest time, and follows others only while slots are
+// free, as a time in full use may be the target's own queue.
+func (l *limiter) learnBase(mean, busy float64) {
+	switch {
+	case l.base == 0 || mean < l.base:
+		l.base = mean
+	case busy <= easyUse:
+		l.base += (mean - l.base) * baseShare
 	}
-	return l.base * (1 + baseDrift)
 }
--- a/gate/plan.go
+++ b/gate/plan.go
@@ -13,6 +13,8 @@
 	calmShare  = 0.1
 	fastShare  = 0.5
 	noticeable = 0.4
+	// steadyShare is how far one window moves the steady capacity.
+	steadyShare = 0.03
 	// leastBusy is the use of the slots below which no capacity is inferred.
 	leastBusy = 0.1
 	// spareQueue is the wanted queue as a part of the limit.
@@ -34,8 +36,10 @@
 // plan gives what the target can do in a window to the ranks and teams that
 // ask for it, and so works out the thresholds.
 type plan struct {
-	tiers     []tier
-	capacity  float64
+	tiers    []tier
+	capacity float64
+	// steady is the capacity without its short changes.
+	steady    float64
 	threshold level.Level
 }
 
@@ -64,9 +68,11 @@
 // learn takes the window's figures: what ended over the use of the slots is
 // what the target could have done.
 func (p *plan) learn(m *meter, busy float64) {
-	if busy >= leastBusy {
-		p.capacity = follow(p.capacity, float64(m.ended)/min(busy, 1))
+	if busy < leastBusy {
+		return
 	}
+	p.capacity = follow(p.capacity, float64(m.ended)/min(busy, 1))
+	p.steady += (p.capacity - p.steady) * steadyShare
 }
 
 // follow returns the known figure moved towards a new one: slowly through
@@ -93,8 +99,9 @@
 	for _, t := range p.tiers {
 		asked := t.ask(s)
 		if t.last == rank.Critical {
-			// A backlog of lesser ranks must not close the critical one.
-			left = max(left, min(asked, p.capacity))
+			// Neither a backlog of lesser ranks nor a short dip of the
+			// capacity may close the critical one.
+			left = max(left, min(asked, p.steady))
 		}
 		if asked > left {
 			p.threshold = t.restrict(left, s)
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"slices"
+
 	"bergamotloom.example/level"
 	"bergamotloom.example/rank"
 	"bergamotloom.example/ticket"
@@ -14,12 +16,14 @@
 // next in the queue, and its demand and level, which decide what entries let
 // pass.
 type shares struct {
-	teams   map[string]*share
+	byName  map[string]*share
+	teams   []*share
 	totals  [rank.Count]count
 	virtual float64
 }
 
 type share struct {
+	name   string
 	weight float64
 	tag    float64
 	queued int
@@ -35,14 +39,15 @@
 }
 
 func newShares() shares {
-	return shares{teams: map[string]*share{}}
+	return shares{byName: map[string]*share{}}
 }
 
 func (s *shares) of(t *ticket.Ticket) *share {
-	u, ok := s.teams[t.Team]
+	u, ok := s.byName[t.Team]
 	if !ok {
-		u = &share{level: level.Full}
-		s.teams[t.Team] = u
+		u = &share{name: t.Team, level: level.Full}
+		s.byName[t.Team] = u
+		s.teams = append(s.teams, u)
 	}
 	u.weight = t.Weight
 	if u.weight <= 0 {
@@ -85,7 +90,7 @@
 
 // level returns the level up to which new requests of the team may pass.
 func (s *shares) level(team string) level.Level {
-	u, ok := s.teams[team]
+	u, ok := s.byName[team]
 	if !ok {
 		return level.Full
 	}
@@ -95,12 +100,10 @@
 // learn takes the demand of the window that is over. The total of a rank is
 // known best; the teams' own counts only divide it.
 func (s *shares) learn() {
-	for name, u := range s.teams {
+	for _, u := range s.teams {
 		u.learn()
-		if u.idle() {
-			delete(s.teams, name)
-		}
 	}
+	s.teams = slices.DeleteFunc(s.teams, s.forget)
 	for r := range s.totals {
 		s.totals[r].learn(calmTotal)
 		s.spread(r)
@@ -121,6 +124,15 @@
 	}
 }
 
+// forget drops the team from the index when it's idle, and tells whether it is.
+func (s *shares) forget(u *share) bool {
+	if !u.idle() {
+		return false
+	}
+	delete(s.byName, u.name)
+	return true
+}
+
 func (u *share) learn() {
 	for r := range u.counts {
 		u.counts[r].learn(calmTeam)
