--- a/node/duties.go
+++ b/node/duties.go
@@ -27,7 +27,7 @@
 	n.duty(n.spread.RunPolls)
 	n.duty(n.runControl)
 	n.duty(n.runUpdates)
-	n.duty(n.join)
+	n.duty(n.runRoster)
 }
 
 func (n *Node) duty(work func(context.Context)) {
--- a/node/join.go
+++ b/node/join.go
@@ -2,71 +2,63 @@
 
 import (
 	"context"
-	"strings"
 	"time"
-
-	"bergamotloom.example/ident"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
-
-	"bergamotloom.example/member"
-	"bergamotloom.example/table"
-	"bergamotloom.example/write"
 )
 
 const (
-	// memberKeys is how the keys of the members' rows begin.
-	memberKeys = "members/"
+	// joinMillis is the time between two tries to join by the table.
 	joinMillis = 1000
+	// renewCheckMillis is how often it's asked whether the row is due.
+	renewCheckMillis = 10_000
+	// rowMillis bounds the work on the node's row.
+	rowMillis = 5000
 )
 
-// join makes the node known: it asks the peers that it was given, reads the
-// rows of the others from the table and puts its own row there.
-func (n *Node) join(ctx context.Context) {
+// runRoster makes the node known: it asks the peers that it was given, puts
+// its own row into the table and finds others there, until it has heard from
+// one of them. Then it renews the row now and then.
+func (n *Node) runRoster(ctx context.Context) {
 	for _, j := range n.setup.Join {
 		n.gossip.Join(j)
 	}
-	rows := memberRows{n.platform.Table()}
-	for {
-		err := rows.enter(ctx, n.gossip.Self(), n.gossip.Learn)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		n.log.Warn("node: the table can't be reached to join", "Error", err)
+	for !n.enter(ctx) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(joinMillis * time.Millisecond):
 		}
 	}
+	every(ctx, renewCheckMillis, func() { n.renew(ctx) })
 }
 
-// memberRows reads and writes the members' rows.
-type memberRows struct {
-	table table.Table
-}
-
-// enter writes the node's own row and then hands all others to learn. In this
-// order two nodes that join at once can't both miss the other.
-func (r memberRows) enter(ctx context.Context, self member.Member, learn func(member.Member)) error {
-	value, err := cbor.Marshal(self)
+// enter tells whether the node has joined: it's in the table, and it has heard
+// from another node or knows of none.
+func (n *Node) enter(ctx context.Context) bool {
+	bound, cancel := context.WithTimeout(ctx, rowMillis*time.Millisecond)
+	defer cancel()
+	others, err := n.roster.Enter(bound, n.gossip.Self())
 	if err != nil {
-		return errors.Wrap(err, "node: encoding the own record")
+		n.log.Warn("node: the table can't be reached to join", "Error", err)
+		return false
 	}
-	w := write.Put(memberKeys+self.ID, value, write.AnyVersion)
-	if _, err := r.table.Transact(ctx, ident.New(), []write.Write{w}); err != nil {
-		return errors.Wrap(err, "node: writing the own record")
+	for _, m := range others {
+		n.gossip.Learn(m)
 	}
-	rows, err := r.table.Scan(ctx, memberKeys)
-	if err != nil {
-		return errors.Wrap(err, "node: reading the members")
+	return len(others) == 0 || n.gossip.LastHeardMillis() > 0
+}
+
+func (n *Node) renew(ctx context.Context) {
+	if !n.roster.IsDue() {
+		return
 	}
-	for _, row := range rows {
-		var m member.Member
-		if cbor.Unmarshal(row.Value, &m) == nil && m.ID != self.ID && strings.HasSuffix(row.Key, m.ID) {
-			learn(m)
-		}
+	bound, cancel := context.WithTimeout(ctx, rowMillis*time.Millisecond)
+	defer cancel()
+	if err := n.roster.Renew(bound, n.gossip.Self(), n.isAlive); err != nil {
+		n.log.Warn("node: the own row wasn't renewed", "Error", err)
 	}
-	return nil
+}
+
+func (n *Node) isAlive(id string) bool {
+	m, ok := n.gossip.Member(id)
+	return ok && !m.Dead
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"bergamotloom.example/dispat"
 	"bergamotloom.example/entry"
 	"bergamotloom.example/gossip"
+	"bergamotloom.example/ident"
 	"bergamotloom.example/inforc"
 	"bergamotloom.example/links"
 	"bergamotloom.example/local"
@@ -31,6 +32,7 @@
 	"bergamotloom.example/quota"
 	"bergamotloom.example/rates"
 	"bergamotloom.example/remote"
+	"bergamotloom.example/roster"
 	"bergamotloom.example/runner"
 	"bergamotloom.example/secret"
 	"bergamotloom.example/setup"
@@ -57,6 +59,7 @@
 	platform   *remote.Client
 	links      *links.Links
 	gossip     *gossip.Gossip
+	roster     *roster.Roster
 	quota      *quota.Quota
 	rates      *rates.Rates
 	store      *inforc.Store
@@ -124,6 +127,7 @@
 	n.gossip = gossip.New(self, n.clock, rand.Uint64(), func(to string, message []byte) {
 		send(to, gossipKind, message)
 	})
+	n.roster = roster.New(n.platform.Table(), n.clock, rand.Uint64(), ident.New)
 	n.marks = crash.New(n.clock, life(self), n.publishFor)
 	n.gossip.OnMember = n.memberChanged
 	n.gossip.OnFact = func(key string, version int64, value []byte) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -50,10 +50,21 @@
 	}
 	n.gossip.Update(func(m member.Member) member.Member { return m.WithDead() })
 	n.gossip.Tick()
+	n.sayGoodbye()
 	time.Sleep(farewellMillis * time.Millisecond)
 	n.log.Info("node: stopped")
 }
 
+// sayGoodbye takes the node's row out of the table. Without it the row goes
+// when its lease has run out.
+func (n *Node) sayGoodbye() {
+	ctx, cancel := context.WithTimeout(n.duties, farewellMillis*time.Millisecond)
+	defer cancel()
+	if err := n.roster.Leave(ctx, n.gossip.Self().ID); err != nil {
+		n.log.Warn("node: the own row stays in the table", "Error", err)
+	}
+}
+
 // awaitQuiet waits until the notice has passed and nothing runs at the target.
 func (n *Node) awaitQuiet(ctx context.Context) {
 	notice := time.After(noticeMillis * time.Millisecond)
