--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -67,7 +67,6 @@
 func (b *Bucket) SetTeam(t team.Team, now int64) {
 	b.fill(now)
 	b.rate, b.burst = t.Rate, t.Burst
-	b.level = min(b.level, b.room())
 }
 
 // Report takes in what a holder says with its ask: how many tokens it has used
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -305,6 +305,18 @@
 	return s.lease.Home(), s.lease.Acting()
 }
 
+// Succession returns the IDs of the nodes that may be the team's home, in
+// their order, as far as this node knows.
+func (q *Quota) Succession(name string) []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.teams[name]
+	if s == nil {
+		return nil
+	}
+	return s.lease.Members()
+}
+
 func (q *Quota) handle(from string, m message) {
 	s := q.teams[m.Team]
 	if s == nil {
