--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -35,6 +35,7 @@
 // table lists every command in the order that the help shows.
 func table() []Verb {
 	return []Verb{
+		compareVerb(),
 		versionVerb(),
 	}
 }
