--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -49,6 +49,7 @@
 		overheadVerb(),
 		slopesVerb(),
 		standinVerb(),
+		compareVerb(),
 		versionVerb(),
 	}
 }
