--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: lint build
 	go test -race -timeout 20m ./...
+	go test -timeout 20m ./bench
 
 demo: build
 	bin/bergamotloom demo
--- a/bench/base.go
+++ b/bench/base.go
@@ -43,6 +43,16 @@
 			name: "fifo", help: "a fixed limit with a FIFO queue",
 			admit: func(c clock.Clock, slots int) admitter { return &fifo{clock: c, slots: slots} },
 		},
+		{
+			name: "gradient", help: "a limit by the gradient of the latency, with a FIFO queue, retry budget and cancellation",
+			admit:  newGradient,
+			budget: true, cancel: true, balance: true,
+		},
+		{
+			name: "weighted", help: "a fixed limit with weighted queues by rank, retry budget and cancellation",
+			admit:  newWeighted,
+			budget: true, cancel: true, balance: true,
+		},
 		{
 			name: "loom-rank", help: "this version, ranks before teams",
 			admit: func(c clock.Clock, slots int) admitter { return gate.New(c, slots, 0, false) },
--- a/bench/call.go
+++ b/bench/call.go
@@ -18,6 +18,8 @@
 	team     int
 	deadline float64
 	passed   float64
+	// entered says that the entry let it pass.
+	entered bool
 	// work is the time that targets spent on it.
 	work float64
 	good bool
--- a/bench/client.go
+++ b/bench/client.go
@@ -21,47 +21,70 @@
 // arrive makes one client request and the next arrival.
 func (w *world) arrive() {
 	now := w.loop.Now()
-	team, total := w.drawTeam(now)
-	w.loop.After(w.random.ExpFloat64()/total*millisPerSecond, w.arrive)
-	e := &errand{path: w.drawPath(), team: team, sentAt: now}
+	d := w.demandAt(now)
+	w.loop.After(w.random.ExpFloat64()/d.total*millisPerSecond, w.arrive)
+	e := &errand{path: w.drawPath(), team: d.draw(w.random.Float64()), sentAt: now}
 	w.tally.asked(e)
 	w.try(e)
 }
 
 const millisPerSecond = 1000
 
-// drawTeam returns the team of the next request and the total demand, in
-// requests a second.
-func (w *world) drawTeam(now float64) (int, float64) {
-	total := 0.0
-	for i := range w.size.teams {
-		total += w.demand(i, now)
-	}
-	x := w.random.Float64() * total
-	for i := range w.size.teams {
-		x -= w.demand(i, now)
+// demand is what the teams send, in requests a second.
+type demand struct {
+	teams []float64
+	total float64
+}
+
+// draw returns the team of a request, by a number drawn evenly from 0 to 1.
+func (d *demand) draw(x float64) int {
+	x *= d.total
+	for i, v := range d.teams {
+		x -= v
 		if x < 0 {
-			return i, total
+			return i
 		}
 	}
-	return 0, total
+	return 0
+}
+
+func (w *world) demandAt(now float64) *demand {
+	if w.scene.during(now) {
+		return &w.rush
+	}
+	return &w.calm
 }
 
 // hogTeam is the team that sends many times its rate.
 const hogTeam = 3
 
-// demand returns what a team sends now, in requests a second.
-func (w *world) demand(team int, now float64) float64 {
-	part := usualPart
-	if w.scene.during(now) {
-		if w.scene.demand > 0 {
-			part = w.scene.demand
-		}
-		if w.scene.hog > 0 && team == hogTeam {
-			part = w.scene.hog * ratesPart
-		}
+// usualDemand and causeDemand return what the teams send outside of the cause
+// and while it lasts.
+func (z size) usualDemand() demand {
+	return z.demand(usualPart)
+}
+
+func (z size) causeDemand(s *scene) demand {
+	if s.demand > 0 {
+		return z.demand(s.demand)
+	}
+	d := z.demand(usualPart)
+	if s.hog > 0 {
+		d.total -= d.teams[hogTeam]
+		d.teams[hogTeam] = s.hog * z.rate(hogTeam)
+		d.total += d.teams[hogTeam]
 	}
-	return w.size.teams[team].part * part * w.usual
+	return d
+}
+
+// demand returns the demand at a part of the capacity.
+func (z size) demand(part float64) demand {
+	var d demand
+	for _, t := range z.teams {
+		d.teams = append(d.teams, t.part*part*z.usual())
+		d.total += t.part * part * z.usual()
+	}
+	return d
 }
 
 func (w *world) drawPath() int {
@@ -88,12 +111,14 @@
 		settled = true
 		w.settle(e, o, ok, refused)
 	}
-	w.loop.After(w.size.paths[e.path].timeout, func() { settle(false, false) })
 	n := w.drawEntry()
 	w.loop.After(w.size.clientMillis, func() {
 		n.enter(o, func(a answer) {
 			w.loop.After(w.size.clientMillis, func() { settle(a.ok, a.ran == runst.Never) })
 		})
+		if o.entered {
+			w.loop.After(o.deadline-w.loop.Now(), func() { settle(false, false) })
+		}
 	})
 }
 
@@ -136,6 +161,7 @@
 		n.entries.Earn()
 		allowed = retry.New(n.entries.Grant(1))
 	}
+	o.entered = true
 	w.tally.entered()
 	w.call(o, 0, n, allowed, func(a answer) {
 		n.entries.Return(a.rest.Left())
--- a/bench/scene.go
+++ b/bench/scene.go
@@ -80,19 +80,19 @@
 }
 
 // endMillis is when the cause ends, stopMillis when the scenario does.
-func (s scene) endMillis() float64 { return warmMillis + s.causeMillis }
+func (s *scene) endMillis() float64 { return warmMillis + s.causeMillis }
 
-func (s scene) stopMillis() float64 { return s.endMillis() + afterMillis }
+func (s *scene) stopMillis() float64 { return s.endMillis() + afterMillis }
 
 // during tells whether the cause lasts at this time.
-func (s scene) during(now float64) bool {
+func (s *scene) during(now float64) bool {
 	return now >= warmMillis && now < s.endMillis()
 }
 
 // near tells whether a request with this timeout, sent before the cause, may
 // meet it, or whether things still settle after it: servers that come back
 // are cold at first.
-func (s scene) near(sent, timeout float64) bool {
+func (s *scene) near(sent, timeout float64) bool {
 	before := sent < warmMillis && sent+timeout >= warmMillis
 	settled := s.endMillis() + settleMillis
 	if s.lost {
--- a/bench/tally.go
+++ b/bench/tally.go
@@ -100,11 +100,8 @@
 	if w.scene.during(e.sentAt) && (w.scene.cold || w.scene.broken) {
 		return false
 	}
-	total := 0.0
-	for i := range w.size.teams {
-		total += w.demand(i, e.sentAt)
-	}
-	return total <= amplePart*w.capacity(e.sentAt) && w.demand(e.team, e.sentAt) <= w.size.rate(e.team)+1
+	d := w.demandAt(e.sentAt)
+	return d.total <= amplePart*w.capacity(e.sentAt) && d.teams[e.team] <= w.size.rate(e.team)+1
 }
 
 func (t *tally) served(e *errand) {
--- a/bench/world.go
+++ b/bench/world.go
@@ -36,6 +36,9 @@
 	// cause lasts.
 	usual     float64
 	disturbed float64
+	// calm and rush are the demands outside of the cause and while it lasts.
+	calm demand
+	rush demand
 }
 
 func newWorld(z size, s scene, p policy, seed uint64) *world {
@@ -52,6 +55,7 @@
 	w.addNodes(seed)
 	w.gossip()
 	w.usual = z.usual()
+	w.calm, w.rush = z.usualDemand(), z.causeDemand(&w.scene)
 	w.disturbed = z.capacity(w.liveServers(), s.speed)
 	return w
 }
--- a/early/early_test.go
+++ b/early/early_test.go
@@ -50,3 +50,28 @@
 	_, ok = f.Passes("browse", "a", rank.Sheddable, 0.9)
 	assert.Assert(t, ok)
 }
+
+// decision returns a function that decides on a request and learns from its
+// answer.
+func decision() func() {
+	c, _ := clock.NewManual(0)
+	f := early.New(c)
+	return func() {
+		f.Passes("browse", "a", rank.Normal, 0.5)
+		f.Learn("browse", "a", "stock", level.New(rank.Normal, 0.5), level.New(rank.Normal, 0.25))
+	}
+}
+
+func TestDecisionAllocatesNothing(t *testing.T) {
+	decide := decision()
+	decide()
+	assert.Equal(t, testing.AllocsPerRun(1000, decide), 0.0)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	decide := decision()
+	b.ReportAllocs()
+	for b.Loop() {
+		decide()
+	}
+}
--- a/gate/limiter.go
+++ b/gate/limiter.go
@@ -25,7 +25,7 @@
 	// growPart is what the limit gains when the slots were in full use.
 	growPart = 0.05
 	// startGrow is what it gains with each request that ends in full use
-	// before the first trial of a lower limit.
+	// before requests were found slow for the first time.
 	startGrow = 0.5
 	// fullUse is the use of the slots that counts as full.
 	fullUse = 0.9
@@ -49,8 +49,8 @@
 	from float64
 	// skip is how many more ends belong to requests from before the trial.
 	skip int
-	// tried says that there was a trial.
-	tried bool
+	// steady says that requests were found slow before.
+	steady bool
 }
 
 func newLimiter(slots int) limiter {
@@ -67,7 +67,7 @@
 // ended takes the time that a request spent in the target itself, and whether
 // all slots within the limit were in use.
 func (l *limiter) ended(ownMillis float64, inFull bool) {
-	if inFull && !l.tried {
+	if inFull && !l.steady {
 		l.limit = min(l.limit+startGrow, l.slots)
 	}
 	if l.skip > 0 {
@@ -90,6 +90,7 @@
 	case l.base == 0 || mean <= l.base*slowFactor || busy < fullUse:
 		l.grow(mean, busy)
 	case l.count < trialEnded:
+		l.steady = true
 		return
 	default:
 		l.beginTrial(mean)
@@ -98,7 +99,7 @@
 }
 
 func (l *limiter) beginTrial(mean float64) {
-	l.before, l.from, l.tried = mean, l.limit, true
+	l.before, l.from = mean, l.limit
 	l.limit = max(l.limit*trialPart, leastLimit)
 	l.skip = int(l.from * skipFactor)
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -59,3 +59,30 @@
 	assert.Assert(t, !retry.Safe(runst.Maybe, false))
 	assert.Assert(t, !retry.Safe(runst.Once, false))
 }
+
+// decision returns a function that decides on one retry of a call.
+func decision() func() {
+	budget := ratio.New(0.1, 10)
+	left := 0
+	return func() {
+		budget.Earn()
+		rest, child := retry.New(3).Split(2)
+		rest, ok := rest.Merge(child).Take()
+		if ok && retry.Safe(runst.Never, false) && budget.Spend() {
+			left = rest.Left()
+		}
+		budget.Return(left)
+	}
+}
+
+func TestDecisionAllocatesNothing(t *testing.T) {
+	assert.Equal(t, testing.AllocsPerRun(1000, decision()), 0.0)
+}
+
+func BenchmarkRetry(b *testing.B) {
+	decide := decision()
+	b.ReportAllocs()
+	for b.Loop() {
+		decide()
+	}
+}
