--- a/inforc/bench_test.go
+++ b/inforc/bench_test.go
@@ -69,3 +69,20 @@
 		_, _ = c.Route("/s300/r5/some/path")
 	}
 }
+
+// TestOneChangeCostsOneFile bounds what a change allocates, so that nobody
+// makes a node read all files again for each.
+func TestOneChangeCostsOneFile(t *testing.T) {
+	const most = 30_000
+	s := inforc.New()
+	assert.NilError(t, s.Offer(change.Change{Version: 1, Whole: true, Contents: fleetFiles()}))
+	version := int64(1)
+	allocations := testing.AllocsPerRun(5, func() {
+		version++
+		c := change.Change{Version: version, Contents: map[string][]byte{"20-service-7.yaml": serviceFile(7, int(version))}}
+		assert.NilError(t, s.Offer(c))
+	})
+	assert.Assert(t, allocations < most, "%g allocations", allocations)
+	route := testing.AllocsPerRun(100, func() { _, _ = s.Current().Route("/s300/r5/some/path") })
+	assert.Equal(t, route, 0.0)
+}
