Push once what isn't urgent

Cause: with eight pushes a change, membership sends about 4.5 messages a second at the target's rates, each with about 300 bytes of answer, TLS and headers around it.

A record that takes a member out of the choices (suspect, dead, leaving) is still pushed to four peers twice; everything else to four once.

--- a/gossip/spread.go
+++ b/gossip/spread.go
@@ -3,10 +3,11 @@
 import "slices"
 
 const (
-	// pushCount is the number of peers that a new entry is pushed to at once,
-	// and pushRounds how many times that is done.
-	pushCount  = 4
-	pushRounds = 2
+	// pushCount is the number of peers that a new entry is pushed to. One that
+	// takes a member out of the choices is urgent, and pushed to as many again
+	// in the next round.
+	pushCount    = 4
+	urgentRounds = 2
 	// backlog is how many new entries make the node push to fewer peers;
 	// comparisons mend what that misses.
 	backlog          = 64
@@ -88,18 +89,24 @@
 	if len(g.fresh) == 0 {
 		return
 	}
+	hasBacklog := len(g.fresh) > backlog
+	m, size := g.nextBatch()
+	if size == 0 {
+		return
+	}
 	count := pushCount
-	if len(g.fresh) > backlog {
+	if hasBacklog {
 		count = backlogPushCount
 		g.busyUntil = g.clock.Now() + busyMillis
 	}
-	peers := g.pickPeers(count, "")
-	if len(peers) == 0 {
-		g.fresh = nil
-		return
+	if peers := g.pickPeers(count, ""); len(peers) > 0 {
+		g.post(m, peers...)
 	}
-	var m message
-	size := 0
+}
+
+// nextBatch takes new entries up to the size of a batch, and returns about how
+// much they take.
+func (g *Gossip) nextBatch() (m message, size int) {
 	for len(g.fresh) > 0 && size < batchBytes {
 		e := g.fresh[0]
 		g.fresh = g.fresh[1:]
@@ -108,13 +115,15 @@
 		}
 		size += g.pushOne(&m, e)
 		e.pushes++
-		if e.pushes < pushRounds {
+		if e.isUrgent() && e.pushes < urgentRounds {
 			g.again = append(g.again, e)
 		}
 	}
-	if size > 0 {
-		g.post(m, peers...)
-	}
+	return m, size
+}
+
+func (e *entry) isUrgent() bool {
+	return e.isMember() && (isPassing(e.member) || e.member.Leaving)
 }
 
 func (g *Gossip) pushOne(m *message, e *entry) int {
