--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -73,8 +73,8 @@
 // in all and how many it has left. It returns false for an ask that is a
 // repeat or came late, which must not be answered. The holder must have given
 // up every grant that it hadn't received when it sent the ask, so tokens that
-// were neither used nor left go back into the bucket.
-func (b *Bucket) Report(holder string, incarnation, seq, used, left, now int64) bool {
+// were neither used nor left go back into the bucket; returned is their number.
+func (b *Bucket) Report(holder string, incarnation, seq, used, left, now int64) (returned int64, ok bool) {
 	b.fill(now)
 	a := b.accounts[holder]
 	switch {
@@ -83,7 +83,7 @@
 		a = &account{incarnation: incarnation, used: used}
 		b.accounts[holder] = a
 	case incarnation < a.incarnation || seq <= a.seq:
-		return false
+		return 0, false
 	}
 	left = min(left, a.outstanding)
 	spent := max(used-a.used, 0)
@@ -92,7 +92,7 @@
 	a.seq, a.used, a.outstanding = seq, used, left
 	a.expires = now + b.keepMillis
 	b.level = min(b.level+float64(unused), b.room())
-	return true
+	return unused, true
 }
 
 // Grant moves up to want tokens from the bucket to a holder that has just
--- a/purse/purse.go
+++ b/purse/purse.go
@@ -18,6 +18,10 @@
 	// rationMillis is the wait before tokens are fetched ahead again after the
 	// home gave fewer than asked, or recalled them.
 	rationMillis = 100
+	// mostShorts bounds the doublings of patience after answers that there's
+	// nothing to be had, mostShortMillis the patience that they lead to.
+	mostShorts      = 4
+	mostShortMillis = 200
 	// leastPatienceMillis and mostPatienceMillis bound the wait for an answer
 	// before the ask is given up for a new one.
 	leastPatienceMillis = 8
@@ -46,6 +50,10 @@
 	shortTill int64
 	aheadFrom int64
 	ahead     int64
+	// full is the balance after the last grant.
+	full int64
+	// shorts grows with answers that there was nothing to be had.
+	shorts int
 }
 
 // New returns an empty purse. Asks are numbered from seq upwards.
@@ -98,17 +106,36 @@
 		return false
 	}
 	target := p.target(now)
-	if target == 0 || now < p.aheadFrom {
+	if target == 0 || now < p.aheadFrom || p.usedAt < p.askedAt {
 		return false
 	}
-	left := p.left(now)
-	old := p.expires-now < tokenMillis-refreshMillis
-	return left < (target+2)/3 || old
+	least := (min(target, max(p.full, 1)) + 2) / 3
+	return p.left(now) < least || p.old(now)
 }
 
-// Idle tells whether the purse holds tokens that it no longer needs.
+// old tells whether the tokens should be renewed before they expire.
+func (p *Purse) old(now int64) bool {
+	return p.expires-now < tokenMillis-refreshMillis
+}
+
+// Idle tells whether the purse holds tokens that should go back to the home:
+// they are about to expire, and none was used since they were granted.
 func (p *Purse) Idle(now int64) bool {
-	return p.left(now) > 0 && p.target(now) == 0 && !p.open
+	return p.left(now) > 0 && p.old(now) && p.usedAt < p.askedAt && !p.open
+}
+
+// Reporting tells whether an ask is under way that says that nothing is left.
+func (p *Purse) Reporting() bool {
+	return p.open && p.balance == 0
+}
+
+// Return empties the purse, and returns the number and the uses for a message
+// that tells the home so. Nobody answers it.
+func (p *Purse) Return(now int64) (seq, used int64) {
+	p.GiveBack(now)
+	p.open = false
+	p.seq++
+	return p.seq, p.used
 }
 
 // Ask opens a new ask and returns its number, the uses so far, the tokens left
@@ -137,6 +164,7 @@
 	p.expires = p.askedAt + tokenMillis
 	p.balance += tokens
 	p.settle(now)
+	p.full = p.balance
 	if tokens < p.ahead {
 		p.aheadFrom = now + rationMillis
 	}
@@ -161,10 +189,21 @@
 	p.open = false
 	p.failures = 0
 	p.patience = max(roundTrips*(now-p.askedAt), leastPatienceMillis)
-	p.shortTill = now + shortMillis
+	p.backOff(shortMillis, now)
 	return true
 }
 
+// backOff stretches the patience that the home asks for while its answers keep
+// being that there's nothing to be had.
+func (p *Purse) backOff(shortMillis, now int64) {
+	if shortMillis <= 0 {
+		p.shorts = max(p.shorts-1, 0)
+		return
+	}
+	p.shortTill = now + min(shortMillis<<p.shorts, max(shortMillis, mostShortMillis))
+	p.shorts = min(p.shorts+2, mostShorts)
+}
+
 // GiveBack empties the purse for a home that recalls its tokens; the next ask
 // then reports nothing left.
 func (p *Purse) GiveBack(now int64) {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -8,8 +8,7 @@
 		s.askedHome = home
 	}
 	if home != "" && s.purse.Idle(now) {
-		s.purse.GiveBack(now)
-		q.ask(s, home, now)
+		q.giveBack(s, home, now)
 		return
 	}
 	if !s.purse.Wants(len(s.waiters), now) {
@@ -32,6 +31,15 @@
 	})
 }
 
+// giveBack returns the tokens that weren't used to the home.
+func (q *Quota) giveBack(s *share, home string, now int64) {
+	seq, used := s.purse.Return(now)
+	q.post(home, message{
+		Kind: kindReturn, Team: s.team.Name, Incarnation: q.incarnation, Stamp: s.stamp,
+		Seq: seq, Version: s.lease.Version(), Used: used,
+	})
+}
+
 // search asks the other members of the order, the nodes that would be chosen
 // and one at random for a newer row, and the table too.
 func (q *Quota) search(s *share, now int64) {
@@ -86,8 +94,11 @@
 	if m.Stamp != s.stamp || from != s.lease.Home() {
 		return
 	}
-	s.purse.GiveBack(now)
-	q.ask(s, from, now)
+	if s.purse.Reporting() {
+		return
+	}
+	q.giveBack(s, from, now)
+	q.fetch(s, now)
 }
 
 // serve hands tokens to the requests that wait, the oldest first.
--- a/quota/home.go
+++ b/quota/home.go
@@ -15,11 +15,14 @@
 	parkMillis = 10
 	// recallMillis is the least time between two recalls to one holder.
 	recallMillis = 20
+	// mostDry bounds the doublings of that time for a holder whose recalls
+	// bring nothing.
+	mostDry = 5
 	// aheadPart is the part of the bucket that one ask may take ahead of use.
-	aheadPart = 8
+	aheadPart = 4
 	// shortPerHolder spreads the asks of a team that has used up its rate, so
 	// that the home gets at most so many milliseconds apart.
-	shortPerHolder = 2
+	shortPerHolder = 1
 	// leastShortMillis and mostShortMillis bound the patience that the home
 	// asks for.
 	leastShortMillis = 5
@@ -31,13 +34,13 @@
 
 // books is the state of the team's home during one reign.
 type books struct {
-	reign    int64
-	stamp    int64
-	starts   int64
-	bucket   *bucket.Bucket
-	parked   []parked
-	recalled map[string]int64
-	sweptAt  int64
+	reign   int64
+	stamp   int64
+	starts  int64
+	bucket  *bucket.Bucket
+	parked  []parked
+	recalls map[string]recall
+	sweptAt int64
 }
 
 // parked is an ask that waits for tokens on their way to the home.
@@ -49,6 +52,30 @@
 	till    int64
 }
 
+// recall is the last recall to a holder.
+type recall struct {
+	sentAt int64
+	open   bool
+	// dry counts the recalls in a row that brought nothing.
+	dry int
+}
+
+// due tells whether the holder may be asked again.
+func (r recall) due(now int64) bool {
+	return now-r.sentAt >= recallMillis<<r.dry
+}
+
+// answered notes what the holder returned.
+func (r recall) answered(returned, now int64) recall {
+	switch {
+	case returned > 0:
+		return recall{sentAt: r.sentAt}
+	case r.open && now-r.sentAt < recallMillis<<r.dry:
+		return recall{sentAt: r.sentAt, dry: min(r.dry+1, mostDry)}
+	}
+	return r
+}
+
 // open returns the books of the present reign, or nil if this node isn't the
 // home.
 func (q *Quota) open(s *share) *books {
@@ -60,10 +87,10 @@
 		return s.books
 	}
 	b := &books{
-		reign:    reign,
-		stamp:    q.incarnation<<16 | reign&0xffff,
-		starts:   quietMillis + keepMillis,
-		recalled: make(map[string]int64),
+		reign:   reign,
+		stamp:   q.incarnation<<16 | reign&0xffff,
+		starts:  quietMillis + keepMillis,
+		recalls: make(map[string]recall),
 	}
 	level := 0.0
 	if first {
@@ -82,7 +109,7 @@
 	}
 	b := q.open(s)
 	if b == nil || now < b.starts {
-		if s.lease.Home() == q.self {
+		if s.lease.Home() == q.self && m.Kind == kindAsk {
 			q.post(from, message{
 				Kind: kindGrant, Team: s.team.Name, Seq: m.Seq, ShortMillis: quietShortMillis,
 			})
@@ -92,7 +119,13 @@
 	if m.Stamp != b.stamp {
 		m.Left = 0
 	}
-	if !b.bucket.Report(from, m.Incarnation, m.Seq, m.Used, m.Left, now) {
+	returned, ok := b.bucket.Report(from, m.Incarnation, m.Seq, m.Used, m.Left, now)
+	if !ok {
+		return
+	}
+	b.recalls[from] = b.recalls[from].answered(returned, now)
+	if m.Kind == kindReturn {
+		q.settle(s, b, now)
 		return
 	}
 	b.parked = slices.DeleteFunc(b.parked, func(p parked) bool { return p.to == from })
@@ -104,8 +137,12 @@
 		return
 	}
 	if p.need == 0 {
-		ahead := min(m.Ahead, int64(b.bucket.Level(now)/aheadPart))
-		p.granted += b.bucket.Grant(from, ahead, now)
+		ahead := b.bucket.Grant(from, min(m.Ahead, int64(b.bucket.Level(now)/aheadPart)), now)
+		p.granted += ahead
+		if ahead > 0 {
+			// Now there is something to recall.
+			delete(b.recalls, from)
+		}
 	}
 	q.answer(s, b, p, now)
 }
@@ -157,8 +194,8 @@
 			return
 		}
 		out = true
-		if now-b.recalled[holder] >= recallMillis {
-			b.recalled[holder] = now
+		if r := b.recalls[holder]; r.due(now) {
+			b.recalls[holder] = recall{sentAt: now, dry: r.dry, open: true}
 			q.post(holder, message{Kind: kindRecall, Team: s.team.Name, Stamp: b.stamp})
 		}
 	})
--- a/quota/message.go
+++ b/quota/message.go
@@ -15,6 +15,8 @@
 	kindGrant
 	// kindRecall asks a holder to give back what it hasn't used.
 	kindRecall
+	// kindReturn gives tokens back unasked, and isn't answered.
+	kindReturn
 	// kindLease carries a body of package lease.
 	kindLease
 )
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -324,7 +324,7 @@
 	}
 	now := q.clock.Now()
 	switch m.Kind {
-	case kindAsk:
+	case kindAsk, kindReturn:
 		q.handleAsk(s, from, m, now)
 	case kindGrant:
 		q.handleGrant(s, m, now)
