--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI := v2.15.0
 GOFUMPT := v0.12.0
 
-.PHONY: build demo test lint check tools
+.PHONY: build demo test lint check tools measures
 
 build:
 	go build -o bin/bergamotloom ./cmd/bergamotloom
@@ -23,3 +23,9 @@
 
 demo: build
 	bin/bergamotloom demo
+
+# Writes docs/MEASURES.md and its plots from a run of the bench.
+measures: build
+	bin/bergamotloom bench worst --size paddle --plot docs/measures/worst-paddle.svg >/dev/null
+	bin/bergamotloom bench worst --size lapacho --plot docs/measures/worst-lapacho.svg >/dev/null
+	{ cat docs/measures/intro.md; bin/bergamotloom bench; } >docs/MEASURES.md
