--- a/fleet/whole_test.go
+++ b/fleet/whole_test.go
@@ -22,6 +22,9 @@
 	largeBytes = 100_000_000
 	// growthBytes is how much more memory a node may hold for large bodies.
 	growthBytes = 48 << 20
+	// rateBound is how soon after an instance was lost no request inside its
+	// team's rate is refused any more.
+	rateBound = 5 * time.Second
 )
 
 // harm cuts and resets connections on the hop and to targets until ctx ends.
@@ -76,6 +79,8 @@
 		assert.Assert(t, all.Served > 0)
 		assert.Assert(t, all.Served < all.Requests, "the harm had no effect")
 	}
+	// A home of a rate that was cut off with the rest has this long to be back.
+	time.Sleep(rateBound)
 	after := send(t, ask(t, 100, 1, f.Callers()...).WithRoute("After", http.MethodGet, "/stock/4", 1)).All()
 	assert.Equal(t, after.Served, after.Requests, "%v", after.Reasons)
 }
--- a/links/links.go
+++ b/links/links.go
@@ -37,7 +37,7 @@
 	batchMost      = 64
 	callMillis     = 500
 	dialMillis     = 300
-	idleMillis     = 20_000
+	idleMillis     = 120_000
 	frameBytesMost = 4 << 20
 )
 
--- a/relay/link.go
+++ b/relay/link.go
@@ -12,7 +12,7 @@
 	chunkBytes = 32 << 10
 	ringSize   = 64
 	// gentleTime is how long a closing connection is still read.
-	gentleTime = 100 * time.Millisecond
+	gentleTime = 2 * time.Second
 )
 
 // chunk is what was read at once, and when. A nil chunk is the end.
