Free the burst of tokens that waiting requests have used

Cause: a token granted to a request that waits is used on arrival, but took room from the burst until the holder's next ask, up to a second later.

Such tokens are now urgent: used on arrival and within 50 ms of the ask, or void; the home frees their room after 110 ms.

--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -34,6 +34,9 @@
 	// outstanding tokens may still be used until expires.
 	outstanding int64
 	expires     int64
+	// urgent of the outstanding tokens are used before urgentTill, or never.
+	urgent     int64
+	urgentTill int64
 }
 
 // Bucket is a token bucket with the accounts of those who hold grants from it.
@@ -70,7 +73,7 @@
 }
 
 // Report takes in what a holder says with its ask: how many tokens it has used
-// in all and how many it has left. It returns false for an ask that is a
+// in all, not counting urgent ones, and how many it has left. It returns false for an ask that is a
 // repeat or came late, which must not be answered. The holder must have given
 // up every grant that it hadn't received when it sent the ask, so tokens that
 // were neither used nor left go back into the bucket; returned is their number.
@@ -85,6 +88,8 @@
 	case incarnation < a.incarnation || seq <= a.seq:
 		return 0, false
 	}
+	// Urgent tokens of earlier grants were used on arrival or are void.
+	b.dropUrgent(a)
 	left = min(left, a.outstanding)
 	spent := max(used-a.used, 0)
 	unused := max(a.outstanding-left-spent, 0)
@@ -111,6 +116,26 @@
 	return granted
 }
 
+// GrantUrgent is like Grant for requests that wait. Such tokens are used when
+// they arrive and before urgentMillis have passed, or never; so they take room
+// from the burst for no longer, though the holder reports them later.
+func (b *Bucket) GrantUrgent(holder string, want, urgentMillis, now int64) int64 {
+	granted := b.Grant(holder, want, now)
+	if granted > 0 {
+		a := b.accounts[holder]
+		a.urgent += granted
+		a.urgentTill = now + urgentMillis
+	}
+	return granted
+}
+
+// Refund puts tokens back that were granted but never sent to the holder. It's
+// called after the holder's next report.
+func (b *Bucket) Refund(tokens, now int64) {
+	b.fill(now)
+	b.level = min(b.level+float64(tokens), b.room())
+}
+
 // Level returns how many tokens are in the bucket.
 func (b *Bucket) Level(now int64) float64 {
 	b.fill(now)
@@ -159,15 +184,25 @@
 	delete(b.accounts, holder)
 }
 
+// dropUrgent takes urgent tokens for used or void.
+func (b *Bucket) dropUrgent(a *account) {
+	b.outstanding -= a.urgent
+	a.outstanding -= a.urgent
+	a.urgent = 0
+}
+
 // Sweep forgets grants that have expired. It's called now and then.
 func (b *Bucket) Sweep(now int64) {
 	b.fill(now)
 	for h, a := range b.accounts {
+		if now > a.urgentTill {
+			b.dropUrgent(a)
+		}
 		if now <= a.expires {
 			continue
 		}
 		b.outstanding -= a.outstanding
-		a.outstanding = 0
+		a.outstanding, a.urgent = 0, 0
 		if now > a.expires+accountMillis {
 			delete(b.accounts, h)
 		}
--- a/purse/purse.go
+++ b/purse/purse.go
@@ -7,6 +7,9 @@
 	// tokenMillis is how long granted tokens may be used, counted on the
 	// holder's clock from the moment when it sent the ask.
 	tokenMillis = 1200
+	// urgentMillis is how long tokens for waiting requests may be used, counted
+	// like tokenMillis.
+	urgentMillis = 50
 	// refreshMillis is the age at which tokens of a team in use are renewed.
 	refreshMillis = 800
 	// aheadMillis is the time for which a holder fetches tokens ahead.
@@ -24,7 +27,7 @@
 	mostShortMillis = 200
 	// leastPatienceMillis and mostPatienceMillis bound the wait for an answer
 	// before the ask is given up for a new one.
-	leastPatienceMillis = 8
+	leastPatienceMillis = 14
 	mostPatienceMillis  = 400
 	// roundTrips is the patience in multiples of the last round trip.
 	roundTrips = 4
@@ -153,22 +156,26 @@
 	return p.seq, p.used, p.balance, p.ahead
 }
 
-// Granted takes in the answer to the ask with this number, and tells whether
-// it was the one awaited. With shortMillis above 0 the home has no more for so
-// long.
-func (p *Purse) Granted(seq, tokens, shortMillis, now int64) bool {
+// Granted takes in the answer to the ask with this number and tells whether it
+// was the one awaited. Ahead are tokens to keep; of the urgent ones it returns
+// how many requests that wait may use now, waiting at most. The others of them
+// are void. With shortMillis above 0 the home has no more for so long.
+func (p *Purse) Granted(seq, ahead, urgent, waiting, shortMillis, now int64) (served int64, ok bool) {
 	if !p.answered(seq, shortMillis, now) {
-		return false
+		return 0, false
 	}
 	p.settle(now)
 	p.expires = p.askedAt + tokenMillis
-	p.balance += tokens
+	p.balance += ahead
 	p.settle(now)
 	p.full = p.balance
-	if tokens < p.ahead {
+	if ahead < p.ahead {
 		p.aheadFrom = now + rationMillis
 	}
-	return true
+	if now-p.askedAt >= urgentMillis {
+		return 0, true
+	}
+	return min(urgent, waiting), true
 }
 
 // Awaits tells whether the answer to the ask with this number is awaited.
--- /dev/null
+++ b/quota/bench_test.go
@@ -0,0 +1,91 @@
+package quota_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/member"
+	"bergamotloom.example/quota"
+	"bergamotloom.example/record"
+	"bergamotloom.example/team"
+	"bergamotloom.example/write"
+)
+
+// alone returns a node without others, whose teams have a huge rate.
+func alone(teams int) *quota.Quota {
+	c := clock.New()
+	q := quota.New("n0", 1, c, 1, func(string, []byte) {})
+	q.SetTable(
+		func(key string) { go q.Got(key, record.Record{}, false, nil) },
+		func(token string, w write.Write) { go q.Wrote(w.Key, token, true, nil) },
+	)
+	q.SetMembers([]member.Member{{ID: "n0", Incarnation: 1}})
+	all := []team.Team{{Name: teamName, Rate: 1e9, Burst: 1e9}}
+	for i := range teams - 1 {
+		all = append(all, team.Team{Name: teamName + string(rune('A'+i)), Rate: 1e9, Burst: 1e9})
+	}
+	q.SetTeams(all)
+	return q
+}
+
+// fill asks until tokens are at hand.
+func fill(q *quota.Quota) {
+	for {
+		q.Ask(teamName, func(bool, int64) {})
+		q.Tick()
+		if granted, _ := q.Take(teamName); granted {
+			return
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	q := alone(8)
+	fill(q)
+	b.ReportAllocs()
+	taken := 0
+	for b.Loop() {
+		granted, waiting := q.Take(teamName)
+		if granted {
+			taken++
+		}
+		if waiting {
+			b.StopTimer()
+			fill(q)
+			b.StartTimer()
+		}
+	}
+	b.ReportMetric(float64(taken)/float64(b.N), "granted/op")
+}
+
+func BenchmarkTickOfEightTeams(b *testing.B) {
+	q := alone(8)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Tick()
+	}
+}
+
+// BenchmarkAskAndGrant is one ask and its answer over two nodes, encoding and
+// decoding included.
+func BenchmarkAskAndGrant(b *testing.B) {
+	f := newFleet(1, 1e9, 1e9)
+	f.run(2000, nil)
+	h := f.home()
+	holder := (h + 1) % fleetSize
+	sent := f.sent
+	b.ResetTimer()
+	for b.Loop() {
+		f.request(holder)
+		f.run(5, nil)
+	}
+	b.ReportMetric(float64(f.sent-sent)/float64(b.N), "messages/op")
+}
+
+func TestTakeDoesNotAllocate(t *testing.T) {
+	q := alone(8)
+	fill(q)
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { q.Take(teamName) }), 0.0)
+}
--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -51,6 +51,18 @@
 	f.checkWindows(t, usual)
 }
 
+func TestGrantThatAStoppedHolderFindsLateIsVoid(t *testing.T) {
+	f, h := started(t, 15)
+	holder := (h + 1) % fleetSize
+	f.burstAt(holder, 60)
+	f.run(5, nil)
+	f.stop(holder)
+	f.run(1000, nil)
+	f.resume(holder)
+	f.run(1000, f.arrivals(2000, f.anyBut(holder)))
+	f.checkWindows(t, usual)
+}
+
 func TestStoppedHomeGrantsNothingWhenItWakes(t *testing.T) {
 	for _, out := range []bool{false, true} {
 		f, h := started(t, 2)
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -82,11 +82,13 @@
 		s.purse.Drop()
 		s.stamp = m.Stamp
 	}
-	s.purse.Granted(m.Seq, m.Tokens, m.ShortMillis, now)
+	served, _ := s.purse.Granted(m.Seq, m.Tokens, m.Urgent, int64(len(s.waiters)), m.ShortMillis, now)
+	q.grant(s, int(served))
 	q.serve(s, now)
 	if m.ShortMillis > 0 {
 		q.refuseAll(s, m.ShortMillis)
 	}
+	q.fetch(s, now)
 }
 
 // handleRecall gives all tokens of that reign back.
@@ -104,9 +106,16 @@
 // serve hands tokens to the requests that wait, the oldest first.
 func (q *Quota) serve(s *share, now int64) {
 	for len(s.waiters) > 0 && s.purse.Take(now) {
-		q.calls = append(q.calls, call{s.waiters[0].done, true, 0})
-		s.waiters = s.waiters[1:]
+		q.grant(s, 1)
+	}
+}
+
+// grant admits the n oldest requests that wait.
+func (q *Quota) grant(s *share, n int) {
+	for _, w := range s.waiters[:n] {
+		q.calls = append(q.calls, call{w.done, true, 0})
 	}
+	s.waiters = s.waiters[n:]
 }
 
 // refuseAll refuses the requests that wait.
--- a/quota/home.go
+++ b/quota/home.go
@@ -10,9 +10,14 @@
 	// keepMillis is how long a home counts a grant as outstanding: longer than
 	// a token lives on its holder's clock, even if that clock runs slow.
 	keepMillis = 1300
+	// urgentMillis is the same for tokens of requests that wait: longer than
+	// package purse lets them be used.
+	urgentMillis = 110
+	// sweepMillis is the time between two searches for grants that have ended.
+	sweepMillis = 50
 	// parkMillis is how long a home keeps an ask back while tokens are on
 	// their way to it.
-	parkMillis = 10
+	parkMillis = 6
 	// recallMillis is the least time between two recalls to one holder.
 	recallMillis = 20
 	// mostDry bounds the doublings of that time for a holder whose recalls
@@ -49,6 +54,7 @@
 	seq     int64
 	need    int64
 	granted int64
+	ahead   int64
 	till    int64
 }
 
@@ -128,7 +134,7 @@
 		q.settle(s, b, now)
 		return
 	}
-	b.parked = slices.DeleteFunc(b.parked, func(p parked) bool { return p.to == from })
+	b.unpark(from, now)
 	q.settle(s, b, now)
 	p := parked{to: from, seq: m.Seq, need: m.Need, till: now + parkMillis}
 	p.take(b.bucket, now)
@@ -137,9 +143,8 @@
 		return
 	}
 	if p.need == 0 {
-		ahead := b.bucket.Grant(from, min(m.Ahead, int64(b.bucket.Level(now)/aheadPart)), now)
-		p.granted += ahead
-		if ahead > 0 {
+		p.ahead = b.bucket.Grant(from, min(m.Ahead, int64(b.bucket.Level(now)/aheadPart)), now)
+		if p.ahead > 0 {
 			// Now there is something to recall.
 			delete(b.recalls, from)
 		}
@@ -147,9 +152,20 @@
 	q.answer(s, b, p, now)
 }
 
+// unpark drops the holder's earlier ask, which it has given up, and puts back
+// what was set aside for it.
+func (b *books) unpark(holder string, now int64) {
+	b.parked = slices.DeleteFunc(b.parked, func(p parked) bool {
+		if p.to == holder {
+			b.bucket.Refund(p.granted, now)
+		}
+		return p.to == holder
+	})
+}
+
 // take moves what is needed and there from the bucket to the ask.
 func (p *parked) take(b *bucket.Bucket, now int64) {
-	n := b.Grant(p.to, p.need, now)
+	n := b.GrantUrgent(p.to, p.need, urgentMillis, now)
 	p.need -= n
 	p.granted += n
 }
@@ -171,7 +187,8 @@
 
 func (q *Quota) answer(s *share, b *books, p parked, now int64) {
 	m := message{
-		Kind: kindGrant, Team: s.team.Name, Stamp: b.stamp, Seq: p.seq, Tokens: p.granted,
+		Kind: kindGrant, Team: s.team.Name, Stamp: b.stamp, Seq: p.seq,
+		Tokens: p.ahead, Urgent: p.granted,
 	}
 	if p.need > 0 {
 		m.ShortMillis = q.short(b, now)
@@ -212,7 +229,7 @@
 		return
 	}
 	q.settle(s, b, now)
-	if now-b.sweptAt >= keepMillis/4 {
+	if now-b.sweptAt >= sweepMillis {
 		b.sweptAt = now
 		b.bucket.Sweep(now)
 	}
--- a/quota/message.go
+++ b/quota/message.go
@@ -37,8 +37,10 @@
 	Left  int64 `cbor:"8,keyasint,omitempty"`
 	Need  int64 `cbor:"9,keyasint,omitempty"`
 	Ahead int64 `cbor:"10,keyasint,omitempty"`
-	// Tokens and ShortMillis are the home's answer.
+	// Tokens are granted ahead of use, Urgent for requests that wait; after
+	// ShortMillis there may be more.
 	Tokens      int64  `cbor:"11,keyasint,omitempty"`
+	Urgent      int64  `cbor:"14,keyasint,omitempty"`
 	ShortMillis int64  `cbor:"12,keyasint,omitempty"`
 	Body        []byte `cbor:"13,keyasint,omitempty"`
 }
@@ -57,8 +59,8 @@
 	if err := cbor.Unmarshal(body, &m); err != nil {
 		return message{}, false
 	}
-	least := min(m.Seq, m.Version, m.Used, m.Left, m.Need, m.Ahead, m.Tokens, m.ShortMillis)
-	most := max(m.Left, m.Need, m.Ahead, m.Tokens, m.ShortMillis)
+	least := min(m.Seq, m.Version, m.Used, m.Left, m.Need, m.Ahead, m.Tokens, m.Urgent, m.ShortMillis)
+	most := max(m.Left, m.Need, m.Ahead, m.Tokens, m.Urgent, m.ShortMillis)
 	return m, least >= 0 && most <= absurd
 }
 
