--- a/answer/answer.go
+++ b/answer/answer.go
@@ -1,23 +1,20 @@
 // Package answer holds what became of one request of the load.
 package answer
 
-// Kind sorts the ends that a request can come to.
-type Kind string
-
-// The kinds of ends.
+// The kinds of ends that a request can come to.
 const (
 	// Served is a whole answer to the caller's own request.
-	Served Kind = "Served"
+	Served = "Served"
 	// Refused is a refusal by a node, with its reason and run state.
-	Refused Kind = "Refused"
+	Refused = "Refused"
 	// Failed is an error that the target itself answered.
-	Failed Kind = "Failed"
+	Failed = "Failed"
 	// Broken is an answer that was cut, or that never came.
-	Broken Kind = "Broken"
+	Broken = "Broken"
 	// Wrong is an answer that looks whole and isn't, or is another's.
-	Wrong Kind = "Wrong"
+	Wrong = "Wrong"
 	// Unsent is a request that the load generator had no room for.
-	Unsent Kind = "Unsent"
+	Unsent = "Unsent"
 )
 
 // Answer is the end of one request, after all its sends.
@@ -26,7 +23,7 @@
 	Marker string
 	Team   string
 	Route  string
-	Kind   Kind
+	Kind   string
 	// Reason says more about the kind: the reason of a refusal, the status of
 	// a failure, or how an answer was cut.
 	Reason string
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -91,7 +91,7 @@
 	return s.judge(ctx, a, response, upload)
 }
 
-func end(a arrive.Arrival, kind answer.Kind, reason string) answer.Answer {
+func end(a arrive.Arrival, kind string, reason string) answer.Answer {
 	return answer.Answer{Marker: a.Marker, Team: a.Team, Route: a.Route, Kind: kind, Reason: reason}
 }
 
