Ask another peer when an answer doesn't come

Cause: with 10% loss the last nodes got a change of 2,000 bytes late, because a lost question or answer was only mended by the next heartbeat's hashes.

Ruled out: pushing everything twice (four messages more a change).

A node asks another peer after 200 ms, up to three times.

--- a/gossip/entry.go
+++ b/gossip/entry.go
@@ -286,8 +286,11 @@
 			}
 		}
 	}
-	forgetBefore(g.seen, now-seenMillis)
-	forgetBefore(g.asked, now-askAgainMillis)
+	for version, at := range g.seen {
+		if at < now-seenMillis {
+			delete(g.seen, version)
+		}
+	}
 	g.sweepRecent(now)
 }
 
@@ -301,11 +304,3 @@
 	clear(g.recent[len(kept):])
 	g.recent = kept
 }
-
-func forgetBefore(times map[uint64]int64, then int64) {
-	for k, t := range times {
-		if t < then {
-			delete(times, k)
-		}
-	}
-}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -61,7 +61,7 @@
 	again  []*entry
 	recent []*entry
 	seen   map[uint64]int64
-	asked  map[uint64]int64
+	asks   []ask
 
 	watches []watch
 	doubts  []watch
@@ -104,7 +104,6 @@
 		entries:  make(map[uint64]*entry),
 		words:    make(map[string]string),
 		seen:     make(map[uint64]int64),
-		asked:    make(map[uint64]int64),
 		tickedAt: c.Now(),
 	}
 	// Nodes that start together don't act in step.
@@ -127,6 +126,7 @@
 	g.beat(now)
 	g.watchOver(now)
 	g.compare(now)
+	g.askAgain(now)
 	g.push()
 }
 
--- a/gossip/spread.go
+++ b/gossip/spread.go
@@ -21,8 +21,12 @@
 	inlineBytes = 256
 	// recentCount bounds the recent entries that ride on one message.
 	recentCount = 32
-	// askAgainMillis is how long an answer is awaited.
+	// askAgainMillis is how long an answer is awaited before another peer is
+	// asked; askTries bounds how often that happens, maxAsks how many entries
+	// are awaited at once.
 	askAgainMillis = 200
+	askTries       = 3
+	maxAsks        = 256
 	// memberBytes and factBytes are about what a record takes beside its text.
 	memberBytes = 40
 	factBytes   = 24
@@ -34,7 +38,7 @@
 	want, tell := g.heard(from, m.Incarnation)
 	g.take(m)
 	if want {
-		g.ask(&answer, keyOfMember(from))
+		g.ask(&answer, ask{key: keyOfMember(from), isAny: true})
 	}
 	if tell {
 		g.give(&answer, g.entries[keyOfMember(from)])
@@ -191,7 +195,7 @@
 func (g *Gossip) askMissing(m *message, b briefs) {
 	for i, k := range b.Keys {
 		if !g.knows(k, b.Marks[i]) {
-			g.ask(m, k)
+			g.ask(m, ask{key: k, mark: b.Marks[i]})
 		}
 	}
 }
@@ -204,14 +208,53 @@
 	return ok
 }
 
-// ask adds a wish to a message, unless an answer to the same is on its way.
-func (g *Gossip) ask(m *message, key uint64) {
-	now := g.clock.Now()
-	if at, ok := g.asked[key]; ok && now-at < askAgainMillis {
+// ask is an entry that the node asked for.
+type ask struct {
+	key  uint64
+	mark uint32
+	// isAny says that any version of the entry will do.
+	isAny   bool
+	askedAt int64
+	tries   int
+}
+
+// ask adds a wish to a message, unless an answer to the same is awaited.
+func (g *Gossip) ask(m *message, a ask) {
+	isAsked := slices.ContainsFunc(g.asks, func(o ask) bool {
+		return o.key == a.key && o.mark == a.mark
+	})
+	if isAsked || len(g.asks) >= maxAsks {
 		return
 	}
-	g.asked[key] = now
-	m.Wants = append(m.Wants, key)
+	a.askedAt = g.clock.Now()
+	g.asks = append(g.asks, a)
+	m.Wants = append(m.Wants, a.key)
+}
+
+// askAgain asks another peer for what didn't come.
+func (g *Gossip) askAgain(now int64) {
+	var m message
+	kept := g.asks[:0]
+	for _, a := range g.asks {
+		if g.isAnswered(a) || a.tries >= askTries {
+			continue
+		}
+		if now-a.askedAt >= askAgainMillis {
+			a.askedAt = now
+			a.tries++
+			m.Wants = append(m.Wants, a.key)
+		}
+		kept = append(kept, a)
+	}
+	g.asks = kept
+	if len(m.Wants) > 0 {
+		g.post(m, g.pickPeers(1, "")...)
+	}
+}
+
+func (g *Gossip) isAnswered(a ask) bool {
+	_, isKnown := g.entries[a.key]
+	return a.isAny && isKnown || g.knows(a.key, a.mark)
 }
 
 // pickPeers returns up to n random ones of the fingers and neighbours.
