End a node that peers hold for dead; ask peers, not the table, for what is missed

Cause, found by the membership work: a live node that was proved dead by mistake stayed out for good; it now stops and is replaced. Every node that missed a change read the table twice a second until it had it, which is thousands of reads at the target's size when a change's fact doesn't spread; only the nodes that draw it read the table now. Messages between nodes no longer carry the names of their fields.

--- a/node/duties.go
+++ b/node/duties.go
@@ -54,6 +54,9 @@
 		n.gossip.Tick()
 		n.spread.Tick()
 		n.watchTarget()
+		if n.gossip.Ended() && !n.leaving.Load() {
+			n.endedOnce.Do(func() { close(n.ended) })
+		}
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -80,8 +80,15 @@
 	group   sync.WaitGroup
 	changed atomic.Bool
 	leaving atomic.Bool
+	// ended is closed when peers hold proof that this incarnation is dead.
+	ended     chan struct{}
+	endedOnce sync.Once
 }
 
+// errEnded ends a node that peers believe dead for good. The platform replaces
+// it; it must not go on with what it holds on behalf of the fleet.
+var errEnded = errors.New("node: peers hold proof that this incarnation has ended")
+
 // New opens the ports and builds the parts. The settings must have passed
 // their check.
 func New(ctx context.Context, s setup.Setup, c clock.Clock, log *slog.Logger) (*Node, error) {
@@ -109,6 +116,7 @@
 		target:   local.New(c),
 		gate:     admit.New(c, s.QueueMillis, s.TeamsFirst),
 		passer:   passer.New(c, secret),
+		ended:    make(chan struct{}),
 	}
 	// The duties outlive the signal to stop: requests in flight need them.
 	n.duties, n.end = context.WithCancel(context.WithoutCancel(ctx))
@@ -243,6 +251,9 @@
 	select {
 	case <-ctx.Done():
 		n.stop()
+	case <-n.ended:
+		n.stop()
+		err = errEnded
 	case err = <-failed:
 	}
 	n.end()
--- a/parcel/parcel.go
+++ b/parcel/parcel.go
@@ -5,6 +5,8 @@
 
 // Parcel is the argument of the remote procedure that delivers messages.
 type Parcel struct {
+	// The fields' names aren't sent.
+	_ struct{} `cbor:",toarray"`
 	// From is the ID of the node that sends.
 	From string
 	// Kinds and Bodies hold the protocol and the bytes of each message.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -290,9 +290,10 @@
 }
 
 // drawPoll tells whether this node reads the table now. A node that hears
-// from no peer, or that misses the configuration, reads it each time.
+// from no peer reads it each time. One that misses a change asks peers: if all
+// of them read the table then, it would be thousands at once.
 func (s *Spreader) drawPoll() bool {
-	if s.clock.Since(s.gossip.LastHeardMillis()) > staleMillis/2 || s.missing.Load() != 0 {
+	if s.clock.Since(s.gossip.LastHeardMillis()) > staleMillis/2 {
 		return true
 	}
 	part := float64(pollsPerSecond) * pollMillis / 1000 / float64(len(s.gossip.Members()))
