Send a request once more when its connection to the target makes no progress

Cause: connections between a gate and its target went silent in a test by the stand-ins' author: 11 of 997 idempotent requests lost their 2 s. The gate can't tell that from slow work, so it sends such a request again on a new connection after half of its time, if the allowance has a retry for it. Ruled out: TCP keep-alives, which whatever lost track of the connection may still answer.

--- a/call/call.go
+++ b/call/call.go
@@ -99,6 +99,18 @@
 	if !c.failed[fingerprint] {
 		return true
 	}
+	return c.take()
+}
+
+// TakeRetry takes one retry from the allowance, if there is one.
+func (c *Call) TakeRetry() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.take()
+}
+
+// take is TakeRetry under the lock.
+func (c *Call) take() bool {
 	rest, ok := c.allowance.Take()
 	c.allowance = rest
 	return ok
--- a/fleet/silent_test.go
+++ b/fleet/silent_test.go
@@ -43,3 +43,10 @@
 	assertOnly(t, all, moved)
 	assert.Assert(t, all.MaxMillis > 100, "the silence had no effect")
 }
+
+// The same for connections from a gate to its target.
+func TestSilentTargetConnectionsCostNoDeadline(t *testing.T) {
+	all := silence(t, func(in *inst.Instance) *relay.Relay { return in.TargetRelay })
+	assertOnly(t, all)
+	assert.Assert(t, all.MaxMillis > 100, "the silence had no effect")
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -117,7 +117,7 @@
 // run passes the request to the target and its answer back, and tells whether
 // the target answered whole.
 func (r *Runner) run(w http.ResponseWriter, in *http.Request, c *call.Call, p *pulse) bool {
-	res, wrote, err := r.target.Send(c.Context(), r.outgoing(in, c))
+	res, wrote, err := r.send(in, c)
 	p.stop()
 	if err != nil {
 		r.refuse(w, r.unanswered(c.Context(), c.Envelope.Fingerprint, wrote, err), c.Envelope, c)
