Count on all slots of a target that warms up

Cause: a gate starts with a quarter of the slots, and its plan took that for all that the target can do. The low threshold of one cold instance then closed its service at the entries, although its limit grew within a second.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -280,7 +280,7 @@
 	}
 	g.meter.moved(now, g.running)
 	g.limit.judge(g.meter.busy(g.limit.current()))
-	g.plan.judge(&g.meter, &g.fair, g.limit.current(), g.running+g.queue.len())
+	g.plan.judge(&g.meter, &g.fair, g.limit.hoped(), g.running+g.queue.len())
 	g.meter.reset(now)
 }
 
--- a/gate/limiter.go
+++ b/gate/limiter.go
@@ -59,6 +59,15 @@
 
 func (l *limiter) current() int { return int(l.limit) }
 
+// hoped returns the limit that the plan counts on: all slots until requests
+// were found slow for the first time, as the limit grows fast up to there.
+func (l *limiter) hoped() int {
+	if l.steady {
+		return l.current()
+	}
+	return int(l.slots)
+}
+
 func (l *limiter) resize(slots int) {
 	l.slots = float64(slots)
 	l.limit = min(l.limit, l.slots)
