Put bad input to the callers' port, and blame no instance for it

fleet/input_test.go sends 36 malformed, over-long or forged requests as raw bytes to a node as a process, checks each one's status, that the key isn't shown, that what reaches a handler is refused by a problem document with Loom-Ran, and that the next good request is served. Two tests look at the targets' records: a length beside chunks smuggles nothing, and no forged Loom header reaches a target.

Seen before the fixes: - `GET *` and CONNECT got echo's own 404 with {"message":"Not Found"}, without Loom-Ran, because echo's router matches no path without a slash. Now 400 and 405: what the router can't match goes to the same handler. - A malformed chunk got 502 InstanceLost. By the code the instance was then passed over for 1 s though its caller was at fault; the same went for a body that grew over its limit. Now the dispatcher knows a body that failed at its source: 400 or 413, and no blame. The 502 was seen; that the instance isn't passed over any more follows from the code and has no test of its own.

Ruled out: a fault in the case of the long body with its length, which at first timed out. net/http reads up to 256 KiB of a body before it answers, and the test had not sent it.

Not met: what isn't well-formed HTTP is refused by net/http in plain text without Loom-Ran; the tests check its status only.

--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -200,6 +200,9 @@
 	s.allowance = rest
 	e := s.envelope.WithAttempt(ident.New(), leftMillis, lent.Left())
 	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request())
+	if !got.Served() && s.body.broken.Load() {
+		got = sourceBroke(got)
+	}
 	s.allowance = s.allowance.Merge(retry.New(got.Unused))
 	s.lowest = s.lowest.Lower(got.Lowest)
 	s.tell(m, got)
@@ -212,6 +215,15 @@
 	return got
 }
 
+// sourceBroke returns the outcome of an attempt whose body couldn't be read
+// from its sender to the end. That shows nothing of the instance.
+func sourceBroke(got reply.Reply) reply.Reply {
+	got.Refusal.Reason = reason.BadRequest
+	got.Refusal.Detail = "The body broke off."
+	got.Broke = false
+	return got
+}
+
 // tell passes on what the attempt showed of the instance.
 func (s *sending) tell(m member.Member, got reply.Reply) {
 	switch {
--- a/dispat/replay.go
+++ b/dispat/replay.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/pkg/errors"
 )
 
 // replay is a request whose body can be sent more than once if it can be read
@@ -11,6 +13,7 @@
 type replay struct {
 	source  *http.Request
 	touched atomic.Bool
+	broken  atomic.Bool
 }
 
 func newReplay(r *http.Request) *replay {
@@ -35,7 +38,7 @@
 			return out
 		}
 	}
-	out.Body = &touching{ReadCloser: p.source.Body, touched: &p.touched}
+	out.Body = &touching{ReadCloser: p.source.Body, owner: p}
 	return out
 }
 
@@ -44,14 +47,18 @@
 	return p.source.GetBody != nil || !p.touched.Load()
 }
 
-// touching takes note of the first read.
+// touching takes note of the first read, and of a failed one.
 type touching struct {
 	io.ReadCloser
-	touched *atomic.Bool
+	owner *replay
 }
 
 // Read reads on.
 func (t *touching) Read(b []byte) (int, error) {
-	t.touched.Store(true)
-	return t.ReadCloser.Read(b)
+	t.owner.touched.Store(true)
+	n, err := t.ReadCloser.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.owner.broken.Store(true)
+	}
+	return n, err
 }
--- /dev/null
+++ b/fleet/input_test.go
@@ -0,0 +1,215 @@
+package fleet_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/fleet"
+	"bergamotloom.example/header"
+	"bergamotloom.example/layout"
+	"bergamotloom.example/runrec"
+	"bergamotloom.example/runst"
+)
+
+const (
+	problemType = "application/problem+json"
+	rawTimeout  = 5 * time.Second
+	// The upload route takes bodies of up to 100 KiB.
+	overLimit = 150 * 1024
+	// forged holds the mark by which targets tell a text that they must not
+	// see.
+	forged       = "loom_forged"
+	uploadRoutes = files + `  - {Name: Upload, Match: /upload/*, Service: stock, Methods: [POST], Rank: Critical, Timeout: 5s, BodyLimit: 100KiB}
+`
+)
+
+// badInput is one request that a node must refuse. Broken says that it isn't
+// well-formed HTTP, so that net/http refuses it before any handler sees it.
+type badInput struct {
+	name   string
+	raw    string
+	status int
+	broken bool
+}
+
+// raw builds a request with the key, further header lines and a body.
+func raw(line string, more ...string) string {
+	lines := append([]string{line + " HTTP/1.1", "Host: node", "Authorization: Bearer " + key}, more...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n"
+}
+
+// fields returns so many short header lines.
+func fields(n int) []string {
+	lines := make([]string, 0, n)
+	for i := range n {
+		lines = append(lines, fmt.Sprintf("X-Field-%d: 1", i))
+	}
+	return lines
+}
+
+func chunk(body string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+}
+
+func badInputs() []badInput {
+	const get, upload, chunked = "GET /stock/1", "POST /upload/1", "Transfer-Encoding: chunked"
+	long := strings.Repeat("a", 64*1024)
+	return []badInput{
+		{"header name with a space", raw(get, "Bad Name: 1"), 400, true},
+		{"header without a colon", raw(get, "NoColon"), 400, true},
+		{"header value with a zero byte", raw(get, "X-Value: a\x00b"), 400, true},
+		{"no host", "GET /stock/1 HTTP/1.1\r\n\r\n", 400, true},
+		{"no request line", "\x16\x03\x01 nonsense\r\n\r\n", 400, true},
+		{"unknown version", "GET /stock/1 HTTP/3.7\r\nHost: node\r\n\r\n", 505, true},
+		{"over-long header", raw(get, "X-Long: "+long), 431, true},
+		{"huge number of headers", raw(get, fields(4000)...), 431, true},
+		{"many headers", raw(get, fields(200)...), 400, false},
+		{"over-long path", raw("GET /stock/" + long), 431, true},
+		{"long path", raw("GET /stock/" + long[:9*1024]), 400, false},
+		{"path without a slash", raw("GET *"), 400, false},
+		{"unknown route", raw("GET /unknown"), 404, false},
+		{"a path of the local port", raw("POST /loom/announce"), 404, false},
+		{"unknown method", raw("BREW /stock/1"), 405, false},
+		{"method that leads elsewhere", raw("TRACE /stock/1"), 405, false},
+		{"method that the route doesn't take", raw("GET /upload/1"), 405, false},
+		{"tunnel", raw("CONNECT stock:80"), 405, false},
+		{"two lengths", raw(upload, "Content-Length: 4", "Content-Length: 5") + "boats", 400, true},
+		{"list of lengths", raw(upload, "Content-Length: 4, 5") + "boats", 400, true},
+		{"negative length", raw(upload, "Content-Length: -1"), 400, true},
+		{"signed length", raw(upload, "Content-Length: +4") + "boat", 400, true},
+		{"unknown encoding", raw(upload, "Transfer-Encoding: gzip, chunked") + "0\r\n\r\n", 501, true},
+		{"two encodings", raw(upload, chunked, "Transfer-Encoding: identity") + "0\r\n\r\n", 501, true},
+		{"malformed chunk", raw(upload, chunked) + "zz\r\nboat\r\n0\r\n\r\n", 400, false},
+		{"long body with its length", raw(upload, fmt.Sprintf("Content-Length: %d", overLimit)) + strings.Repeat("b", overLimit), 413, false},
+		{"long body without a length", raw(upload, chunked) + chunk(strings.Repeat("b", overLimit)) + "0\r\n\r\n", 413, false},
+		{"no key", "GET /stock/1 HTTP/1.1\r\nHost: node\r\n\r\n", 401, false},
+		{"unknown key", strings.ReplaceAll(raw(get), key, key+"x"), 401, false},
+		{"key in the query", raw(get + "?key=" + key), 400, false},
+		{"key in another header", raw(get, "X-Key: "+key), 400, false},
+		{"timeout that is no number", raw(get, header.Timeout+": soon"), 400, false},
+		{"negative timeout", raw(get, header.Timeout+": -5"), 400, false},
+		{"no time", raw(get, header.Timeout+": 0"), 400, false},
+		{"timeout out of range", raw(get, header.Timeout+": 99999999999999999999"), 400, false},
+		{"long idempotency key", raw("POST /book/1", header.IdempotencyKey+": "+long[:1024], "Content-Length: 0"), 400, false},
+	}
+}
+
+// exchanged is a response that was read whole, and the connection's further
+// bytes.
+type exchanged struct {
+	status int
+	header http.Header
+	body   string
+	rest   *bufio.Reader
+}
+
+// exchange sends raw bytes and reads a response.
+func exchange(t *testing.T, address, request string) exchanged {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(rawTimeout)))
+	// The node may answer and close before it has read all.
+	_, _ = io.WriteString(conn, request)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return exchanged{response.StatusCode, response.Header, string(body), reader}
+}
+
+func startInput(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	f := startWith(t, layout.New("c1").WithService("stock", 1, "--key-mark", "loom_"), uploadRoutes)
+	waitReady(t, f)
+	return f
+}
+
+// Bad input gets its status, and the node goes on. What reaches a handler is
+// refused with a problem document that says whether the request ran; what
+// isn't well-formed HTTP is refused by net/http, which closes the connection.
+func TestBadInputIsRefusedAndTheNodeGoesOn(t *testing.T) {
+	f := startInput(t)
+	in := f.Instances[0]
+	for _, b := range badInputs() {
+		t.Run(b.name, func(t *testing.T) {
+			got := exchange(t, in.Callers, b.raw)
+			assert.Equal(t, got.status, b.status, got.body)
+			assert.Assert(t, !strings.Contains(got.body, key), "the refusal shows the key: %s", got.body)
+			if !b.broken {
+				assert.Equal(t, got.header.Get("Content-Type"), problemType)
+				assert.Assert(t, got.header.Get(runst.Header) != "", got.body)
+			}
+			assert.Equal(t, get(t, in.Callers, "/stock/good?bytes=0"), "", "the next request")
+		})
+	}
+	assert.Assert(t, in.Node.Alive())
+	runs, err := f.Runs()
+	assert.NilError(t, err)
+	for _, r := range runs {
+		assert.Assert(t, !r.SawKey, "%+v", r)
+		assert.Assert(t, r.Path == "/stock/ready" || r.Path == "/stock/good" || r.Outcome != runrec.Served, "a refused request was served: %+v", r)
+	}
+}
+
+// A request with both a length and chunks is read by its chunks alone (RFC
+// 9112, 6.3), and the target gets just these: what follows is a request of its
+// own, which needs a key.
+func TestALengthBesideChunksSmugglesNothing(t *testing.T) {
+	f := startInput(t)
+	smuggled := "GET /stock/smuggled HTTP/1.1\r\nHost: node\r\n\r\n"
+	request := raw("POST /upload/both?bytes=0", "Content-Length: 64", "Transfer-Encoding: chunked") +
+		chunk("boat") + "0\r\n\r\n" + smuggled
+	got := exchange(t, f.Instances[0].Callers, request)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	next, err := http.ReadResponse(got.rest, nil)
+	if err == nil {
+		assert.Equal(t, next.StatusCode, http.StatusUnauthorized)
+		assert.NilError(t, next.Body.Close())
+	}
+	runs, err := f.Runs()
+	assert.NilError(t, err)
+	uploads := 0
+	for _, r := range runs {
+		assert.Assert(t, r.Path != "/stock/smuggled")
+		if r.Path == "/upload/both" {
+			uploads++
+			assert.Equal(t, r.UploadBytes, int64(len("boat")))
+		}
+	}
+	assert.Equal(t, uploads, 1)
+}
+
+// No header of the project's own reaches a target as a caller wrote it.
+func TestForgedHeadersReachNoTarget(t *testing.T) {
+	f := startInput(t)
+	var lines []string
+	for _, name := range []string{"Loom-Envelope", "loom-team", "LOOM-CALL", "Loom-Request", "Loom-Rank", "Loom-Confirm", "Loom-Ran"} {
+		lines = append(lines, name+": "+forged)
+	}
+	got := exchange(t, f.Instances[0].Callers, raw("GET /stock/forged?bytes=0", lines...))
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	runs, err := f.Runs()
+	assert.NilError(t, err)
+	last := runs[len(runs)-1]
+	assert.Equal(t, last.Path, "/stock/forged")
+	assert.Equal(t, last.Team, "Lakes")
+	assert.Equal(t, last.Rank, "Critical")
+	assert.Assert(t, last.Request != "" && last.Request != forged)
+	assert.Assert(t, !last.SawKey, "a forged header reached the target: %v", last.Headers)
+	for _, name := range []string{"Loom-Envelope", "Loom-Confirm", "Loom-Ran"} {
+		assert.Assert(t, !slices.Contains(last.Headers, name), "%v", last.Headers)
+	}
+}
--- a/fleet/main_test.go
+++ b/fleet/main_test.go
@@ -65,8 +65,17 @@
 	return m.Run()
 }
 
-// start runs a fleet with the test's configuration in force everywhere.
+// start runs a fleet with the tests' usual configuration in force everywhere.
 func start(t *testing.T, l layout.Layout) *fleet.Fleet {
+	t.Helper()
+	f := startWith(t, l, files)
+	waitReady(t, f)
+	return f
+}
+
+// startWith runs a fleet and applies a configuration, in which HASH stands for
+// the hash of the key.
+func startWith(t *testing.T, l layout.Layout, content string) *fleet.Fleet {
 	t.Helper()
 	f, err := fleet.Start(t.Context(), binary, t.TempDir(), l)
 	t.Cleanup(func() {
@@ -80,8 +89,7 @@
 		f.Close()
 	})
 	assert.NilError(t, err)
-	configure(t, f, strings.ReplaceAll(files, "HASH", keys.Hash(key)))
-	waitReady(t, f)
+	configure(t, f, strings.ReplaceAll(content, "HASH", keys.Hash(key)))
 	return f
 }
 
--- a/node/ports.go
+++ b/node/ports.go
@@ -133,10 +133,16 @@
 	return s
 }
 
-// catchAll serves every path and method by the handler, within echo.
+// catchAll serves every path and method by the handler, within echo. What
+// echo's router can't match, as a path without a slash, goes there too.
 func catchAll(h http.Handler) *echo.Echo {
 	e := newEcho()
 	e.RouteNotFound("/*", echo.WrapHandler(h))
+	e.HTTPErrorHandler = func(_ error, c echo.Context) {
+		if !c.Response().Committed {
+			h.ServeHTTP(c.Response(), c.Request())
+		}
+	}
 	return e
 }
 
