--- a/setup/setup.go
+++ b/setup/setup.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"net/netip"
+	"net/url"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -62,6 +64,8 @@
 		}
 	}
 	switch {
+	case !isPlatform(s.Platform):
+		return errors.Errorf("--platform is %q: it must be a URL, as http://127.0.0.1:7070", s.Platform)
 	case s.Centre == "":
 		return errors.New("--centre is empty: it must name the data centre")
 	case s.Region == "":
@@ -76,6 +80,16 @@
 	return nil
 }
 
+// isPlatform tells whether the platform's client would take the address, which
+// is a URL or only a host and port.
+func isPlatform(address string) bool {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	parsed, err := url.Parse(address)
+	return err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
+}
+
 func loopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
