--- a/fleet/peer_test.go
+++ b/fleet/peer_test.go
@@ -96,7 +96,7 @@
 		{"local on another address", []string{"--local", "192.0.2.1:7000"}, []string{"--local", "192.0.2.1:7000", "loopback"}},
 		{"advertise by name", []string{"--advertise", "node:1"}, []string{"--advertise", "node:1", "IP number"}},
 		{"join by name", []string{"--join", "127.0.0.1:1,peer"}, []string{"--join", "peer", "IP numbers"}},
-		{"short secret", []string{"--secret", "short"}, []string{"secret", "5 bytes", "at least 32"}},
+		{"short secret", []string{"--secret", "short"}, []string{"--secret", "5 bytes", "at least 32"}},
 		{"missing file of the secret", []string{"--secret-file", "missing"}, []string{"--secret-file", "missing"}},
 		{"empty centre", []string{"--centre", ""}, []string{"--centre", "empty", "data centre"}},
 		{"empty region", []string{"--region", ""}, []string{"--region", "empty", "region"}},
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -71,7 +71,7 @@
 	case s.Region == "":
 		return errors.New("--region is empty: it must name the region")
 	case len(s.Secret) < secret.MinBytes:
-		return errors.Errorf("the fleet's secret has %d bytes: it must have at least %d", len(s.Secret), secret.MinBytes)
+		return errors.Errorf("--secret, or the content of --secret-file, has %d bytes: it must have at least %d", len(s.Secret), secret.MinBytes)
 	case s.DrainMillis <= 0:
 		return errors.Errorf("--drain is %d ms: it must be positive", s.DrainMillis)
 	case s.QueueMillis < 0:
