--- a/admit/admit.go
+++ b/admit/admit.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"bergamotloom.example/beat"
 	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
@@ -16,15 +16,19 @@
 	"bergamotloom.example/ticket"
 )
 
-// TickMillis is how often Run lets the gate look at its queue, in
-// milliseconds.
-const TickMillis = 5
+const (
+	// tickMillis is how often the gate looks at its queue while somebody is in
+	// it, and idleMillis how often it looks at its measurements otherwise.
+	tickMillis = 5
+	idleMillis = 100
+)
 
 // Admitter is the gate of the node's target, safe for many goroutines.
 type Admitter struct {
 	clock       clock.Clock
 	queueMillis float64
 	teamsFirst  bool
+	beat        *beat.Beat
 
 	mutex   sync.Mutex
 	gate    *gate.Gate
@@ -36,7 +40,12 @@
 // teamsFirst teams get their parts of all ranks below the critical one
 // together, and not within each rank.
 func New(c clock.Clock, queueMillis float64, teamsFirst bool) *Admitter {
-	return &Admitter{clock: c, queueMillis: queueMillis, teamsFirst: teamsFirst}
+	return &Admitter{
+		clock:       c,
+		queueMillis: queueMillis,
+		teamsFirst:  teamsFirst,
+		beat:        beat.New(tickMillis, idleMillis),
+	}
 }
 
 // pass is a slot that was granted by a gate.
@@ -59,16 +68,7 @@
 
 // Run ticks the gate until the context ends.
 func (a *Admitter) Run(ctx context.Context) {
-	t := time.NewTicker(TickMillis * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			a.tick()
-		}
-	}
+	a.beat.Run(ctx, a.tick)
 }
 
 // Enter waits until the gate admits or refuses the request. With true the
@@ -107,7 +107,9 @@
 		return nil
 	}
 	a.gate.Arrive(t)
-	if !t.Queued() {
+	if t.Queued() {
+		a.beat.Wake()
+	} else {
 		t.Settled(t)
 	}
 	return a.gate
@@ -132,12 +134,15 @@
 	p.gate.Finish(p.ticket, ok, childMillis)
 }
 
-func (a *Admitter) tick() {
+// tick tells whether somebody waits.
+func (a *Admitter) tick() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.gate != nil {
-		a.gate.Tick()
+	if a.gate == nil {
+		return false
 	}
+	a.gate.Tick()
+	return a.gate.Waiting() > 0
 }
 
 // Answered returns what goes back with each answer for the team: the admission
--- a/node/duties.go
+++ b/node/duties.go
@@ -10,7 +10,7 @@
 
 const (
 	controlMillis = 100
-	updateMillis  = 20
+	updateMillis  = 100
 	tableWorkers  = 4
 )
 
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"bergamotloom.example/beat"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/quota"
 	"bergamotloom.example/record"
@@ -16,7 +18,10 @@
 )
 
 const (
+	// tickMillis is how often the clockwork runs while a request waits for a
+	// token, and idleMillis how often otherwise.
 	tickMillis       = 5
+	idleMillis       = 40
 	tableMillis      = 1000
 	tableRing        = 8192
 	cancelledRetryMs = 100
@@ -28,6 +33,9 @@
 	quota *quota.Quota
 	table table.Table
 	jobs  *ring.Ring[job]
+	beat  *beat.Beat
+	// waiting counts the requests that wait for a token.
+	waiting atomic.Int64
 }
 
 // job is one read (write is nil) or write of a row.
@@ -39,7 +47,7 @@
 
 // New returns the rates over the quota, which keeps its rows in the table.
 func New(c clock.Clock, q *quota.Quota, t table.Table) *Rates {
-	r := &Rates{clock: c, quota: q, table: t, jobs: ring.New[job](tableRing)}
+	r := &Rates{clock: c, quota: q, table: t, jobs: ring.New[job](tableRing), beat: beat.New(tickMillis, idleMillis)}
 	q.SetTable(
 		func(key string) { r.jobs.Put(job{key: key}) },
 		func(token string, w write.Write) { r.jobs.Put(job{key: w.Key, token: token, write: &w}) },
@@ -54,6 +62,9 @@
 		return true, 0
 	}
 	answered := make(chan outcome, 1)
+	r.waiting.Add(1)
+	defer r.waiting.Add(-1)
+	r.beat.Wake()
 	r.quota.Ask(team, func(granted bool, retryAfter int64) {
 		answered <- outcome{granted, retryAfter}
 	})
@@ -72,16 +83,10 @@
 
 // RunTicks drives the quota's clockwork until the context ends.
 func (r *Rates) RunTicks(ctx context.Context) {
-	t := time.NewTicker(tickMillis * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.quota.Tick()
-		}
-	}
+	r.beat.Run(ctx, func() bool {
+		r.quota.Tick()
+		return r.waiting.Load() > 0
+	})
 }
 
 // RunTable carries out the quota's reads and writes until the context ends.
