--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 test: lint build
 	go test -race -timeout 20m $(filter-out $(PROCESSES),$(shell go list ./...))
 	go test -timeout 20m ./bench
-	go test -race -p 1 -timeout 20m $(PROCESSES)
+	go test -race -count=1 -p 1 -timeout 20m $(PROCESSES)
 
 demo: build
 	bin/bergamotloom demo
