Use one piece of code for retry budgets and for the bounds of a chain

The bench had its own copy of the bounds that answers carry, and the node and the bench each named the budget's figures.

--- a/bench/call.go
+++ b/bench/call.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"bergamotloom.example/bounds"
 	"bergamotloom.example/level"
 	"bergamotloom.example/retry"
 	"bergamotloom.example/runst"
@@ -34,28 +35,10 @@
 	// own is the threshold of the gate that was asked, chain the lowest of
 	// its chain with the team's level that goes with it.
 	own   level.Level
-	chain levels
+	chain bounds.Bounds
 	rest  retry.Allowance
 }
 
-// levels is a gate's threshold with the level of the request's team there.
-type levels struct {
-	service   string
-	threshold level.Level
-	team      level.Level
-}
-
-// unrestricted is told by what has no gate.
-var unrestricted = levels{threshold: level.Full, team: level.Full}
-
-// lower returns the levels that restrict the team more.
-func (l levels) lower(other levels) levels {
-	if other.team < l.team {
-		return other
-	}
-	return l
-}
-
 // call is one call of a service from a node, with its retries.
 type call struct {
 	world   *world
@@ -67,14 +50,14 @@
 	allowed retry.Allowance
 	sentAt  float64
 	// chain keeps the lowest levels of all attempts.
-	chain levels
+	chain bounds.Bounds
 	done  func(answer)
 }
 
 func (w *world) call(o *order, service int, from *node, allowed retry.Allowance, done func(answer)) {
 	c := &call{
 		world: w, order: o, service: service, from: from, allowed: allowed, done: done,
-		chain: unrestricted,
+		chain: bounds.None(),
 	}
 	from.pairs[service].Earn()
 	c.send()
@@ -84,7 +67,7 @@
 func (c *call) send() {
 	n := c.pick()
 	if n == nil {
-		c.finish(answer{ran: runst.Never, own: level.Full, chain: unrestricted})
+		c.finish(answer{ran: runst.Never, own: level.Full, chain: bounds.None()})
 		return
 	}
 	w := c.world
@@ -127,7 +110,7 @@
 		c.from.chooser.Lost(n.member.ID, lostMillis)
 	}
 	c.allowed = c.allowed.Merge(a.rest)
-	c.chain = c.chain.lower(a.chain)
+	c.chain = c.chain.Lower(a.chain)
 	if a.ok || !c.again(a) {
 		c.finish(a)
 		return
@@ -167,7 +150,7 @@
 	ticket  ticket.Ticket
 	reply   func(answer)
 	allowed retry.Allowance
-	chain   levels
+	chain   bounds.Bounds
 	child   float64
 	resends int
 }
@@ -176,11 +159,11 @@
 func (n *node) receive(c *call, allowed retry.Allowance, reply func(answer)) {
 	w := n.world
 	if n.dead {
-		reply(answer{ran: runst.Never, lost: true, own: level.Full, chain: unrestricted, rest: allowed})
+		reply(answer{ran: runst.Never, lost: true, own: level.Full, chain: bounds.None(), rest: allowed})
 		return
 	}
 	t := w.size.teams[c.order.team]
-	j := &job{node: n, life: n.life, order: c.order, reply: reply, allowed: allowed, chain: unrestricted}
+	j := &job{node: n, life: n.life, order: c.order, reply: reply, allowed: allowed, chain: bounds.None()}
 	j.ticket = ticket.Ticket{
 		Team: t.name, Weight: w.size.rate(c.order.team), Rank: w.size.paths[c.order.path].rank,
 		DeadlineMillis: int64(c.order.deadline), Child: c.service > 0, Passed: c.order.passed,
@@ -259,7 +242,7 @@
 		return
 	}
 	j.allowed = j.allowed.Merge(a.rest)
-	j.chain = j.chain.lower(a.chain)
+	j.chain = j.chain.Lower(a.chain)
 	if !a.ok && j.resend() {
 		j.callChild()
 		return
@@ -296,11 +279,11 @@
 // end sends the answer.
 func (j *job) end(ok bool, ran runst.State) {
 	g, team := j.node.gate, j.node.world.size.teams[j.order.team].name
-	own := levels{j.node.member.Service, g.Threshold(), g.TeamLevel(team)}
-	j.reply(answer{ok: ok, ran: ran, own: own.threshold, chain: j.chain.lower(own), rest: j.allowed})
+	own := bounds.Bounds{Service: j.node.member.Service, Threshold: g.Threshold(), TeamLevel: g.TeamLevel(team)}
+	j.reply(answer{ok: ok, ran: ran, own: own.Threshold, chain: j.chain.Lower(own), rest: j.allowed})
 }
 
 // vanish answers for a request whose instance went away.
 func (j *job) vanish() {
-	j.reply(answer{ran: runst.Maybe, lost: true, own: level.Full, chain: unrestricted})
+	j.reply(answer{ran: runst.Maybe, lost: true, own: level.Full, chain: bounds.None()})
 }
--- a/bench/node.go
+++ b/bench/node.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// retryShare bounds retries of a pair of services and of an entry.
-	retryShare = 0.08
-	// savedRetries is what such a budget saves up at most.
-	savedRetries = 20
 	// lostMillis is how long a lost instance is skipped.
 	lostMillis = 2_000
 	// oldMillis is how long nodes have been there at the start.
@@ -62,10 +58,10 @@
 	n.gate = n.world.policy.admit(c, slots)
 	n.chooser = choose.New(c, n.member.Centre, seed)
 	n.filter = early.New(c)
-	n.entries = ratio.New(retryShare, savedRetries)
+	n.entries = ratio.NewRetries()
 	n.pairs = nil
 	for range n.world.size.services {
-		n.pairs = append(n.pairs, ratio.New(retryShare, savedRetries))
+		n.pairs = append(n.pairs, ratio.NewRetries())
 	}
 }
 
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -26,11 +26,6 @@
 )
 
 const (
-	// retryShare bounds the retries of a pair of services to a part of its
-	// first sends, and savedRetries is what such a budget saves up at most.
-	retryShare   = 0.08
-	savedRetries = 20
-
 	// lostMillis is how long an instance is passed over after it was silent or
 	// broke a connection, goneMillis after it refused one.
 	lostMillis = 1000
@@ -129,7 +124,7 @@
 func (d *Dispatcher) budget(p pair) *ratio.Ratio {
 	b, ok := d.budgets[p]
 	if !ok {
-		b = ratio.New(retryShare, savedRetries)
+		b = ratio.NewRetries()
 		d.budgets[p] = b
 	}
 	return b
--- a/entry/early.go
+++ b/entry/early.go
@@ -16,10 +16,6 @@
 const (
 	// retryAfterMillis is what a caller is told that was refused early.
 	retryAfterMillis = 1000
-	// retryShare bounds the retries of requests that enter here to a part of
-	// their number, and savedRetries is what that budget saves up at most.
-	retryShare   = 0.08
-	savedRetries = 20
 )
 
 // filter is what the node knows of overload behind each route, and the budget
@@ -31,7 +27,7 @@
 }
 
 func newFilter(c clock.Clock) *filter {
-	return &filter{early: early.New(c), entries: ratio.New(retryShare, savedRetries)}
+	return &filter{early: early.New(c), entries: ratio.NewRetries()}
 }
 
 func (f *filter) passes(route, team string, r rank.Rank) (float64, bool) {
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -10,6 +10,14 @@
 	saved float64
 }
 
+const (
+	// retryShare bounds the retries of a pair of services, or of the requests
+	// that enter at a node, to a part of their first sends.
+	retryShare = 0.08
+	// savedRetries is what such a budget saves up at most.
+	savedRetries = 20
+)
+
 // startSaved is what a new budget holds at most: enough for a lost instance
 // while nothing was earned, and little when everything fails from the start.
 const startSaved = 2
@@ -20,6 +28,11 @@
 	return &Ratio{share: share, most: most, saved: min(most, startSaved)}
 }
 
+// NewRetries returns the budget that nodes keep.
+func NewRetries() *Ratio {
+	return New(retryShare, savedRetries)
+}
+
 // Earn counts one first send.
 func (r *Ratio) Earn() {
 	r.saved = min(r.saved+r.share, r.most)
