Wait by one piece of code, and send no name of an attempt that nobody reads

Found on reading the whole change again. load, target, claims and demo each had a wait of their own beside pause.For, which now also is over at once for a duration that isn't positive, as two of them were. The envelope carried a random name of each attempt over every hop, and nobody read it.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -21,6 +21,7 @@
 	"bergamotloom.example/claim"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/ident"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
 	"bergamotloom.example/ring"
@@ -113,7 +114,7 @@
 			return mine, c.maybe(), false
 		case there.State == claim.Released:
 			mine = mine.WithVersion(there.Version)
-		case !pause(ctx, lookMillis):
+		case !pause.For(ctx, lookMillis*time.Millisecond):
 			return mine, c.maybe(), false
 		}
 	}
@@ -179,18 +180,6 @@
 	}
 }
 
-// pause waits and tells whether the context still lives.
-func pause(ctx context.Context, millis int64) bool {
-	t := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // RunBegins writes claims, in batches, until the context ends. Several may run
 // at a time.
 func (c *Claims) RunBegins(ctx context.Context) {
@@ -199,7 +188,7 @@
 		if !ok {
 			return
 		}
-		if !pause(ctx, batchMillis) {
+		if !pause.For(ctx, batchMillis*time.Millisecond) {
 			return
 		}
 		c.writeBegins(ctx, append([]*begin{first}, c.begins.Drain(batchMost-1)...))
@@ -299,7 +288,7 @@
 // ended before.
 func (c *Claims) writeEndUntilSettled(ctx context.Context, e claim.Claim) bool {
 	for !c.writeEnd(ctx, e) {
-		if !pause(ctx, againMillis) {
+		if !pause.For(ctx, againMillis*time.Millisecond) {
 			return false
 		}
 	}
--- a/demo/events.go
+++ b/demo/events.go
@@ -14,6 +14,7 @@
 	"bergamotloom.example/header"
 	"bergamotloom.example/inst"
 	"bergamotloom.example/keys"
+	"bergamotloom.example/pause"
 )
 
 const (
@@ -37,7 +38,7 @@
 			if err == nil && status == http.StatusOK {
 				break
 			}
-			if !sleep(ctx, readyPause) {
+			if !pause.For(ctx, readyPause) {
 				return errors.Errorf("demo: %s isn't ready: status %d, %v", in.Name, status, err)
 			}
 		}
@@ -61,15 +62,6 @@
 	return response.StatusCode, errors.Wrap(err, "demo")
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // withdraw takes the key of one team out of the folder and applies that, while
 // the key is used all the time on connections that stay open.
 func (d *Demo) withdraw(ctx context.Context) error {
@@ -79,7 +71,7 @@
 	for _, in := range d.fleet.Instances {
 		go func() { lasts <- lastServed(watched, in.Callers) }()
 	}
-	if !sleep(ctx, withdrawAfter) {
+	if !pause.For(ctx, withdrawAfter) {
 		return ctx.Err()
 	}
 	if err := d.removeKey(); err != nil {
@@ -104,7 +96,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	var last time.Time
-	for sleep(ctx, watchPause) {
+	for pause.For(ctx, watchPause) {
 		began := time.Now()
 		status, err := ask(ctx, client, node, withdrawnTeam)
 		if err == nil && status == http.StatusOK {
@@ -131,7 +123,7 @@
 
 // stopNode asks one node to stop and waits for its end.
 func (d *Demo) stopNode(ctx context.Context, in *inst.Instance) error {
-	if !sleep(ctx, stopAfter) {
+	if !pause.For(ctx, stopAfter) {
 		return ctx.Err()
 	}
 	d.say("Stopping the node of %s gracefully.", in.Name)
--- a/dispat/sending.go
+++ b/dispat/sending.go
@@ -7,7 +7,6 @@
 
 	"bergamotloom.example/bounds"
 	"bergamotloom.example/envel"
-	"bergamotloom.example/ident"
 	"bergamotloom.example/member"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
@@ -67,7 +66,7 @@
 func (s *sending) attempt(ctx context.Context, m member.Member, leftMillis int64) reply.Reply {
 	rest, lent := s.allowance.Split(parties)
 	s.allowance = rest
-	e := s.envelope.WithAttempt(ident.New(), leftMillis, lent.Left())
+	e := s.envelope.WithAttempt(leftMillis, lent.Left())
 	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request())
 	if !got.Served() && s.body.broken.Load() {
 		got = sourceBroke(got)
--- a/envel/envel.go
+++ b/envel/envel.go
@@ -27,9 +27,8 @@
 // value; on the wire it's a CBOR map in a header, in base64.
 type Envelope struct {
 	// Request is the identity of the caller's request, the same through the
-	// chain; Attempt names this one sending of it or of a child call.
+	// chain.
 	Request string `cbor:"1,keyasint"`
-	Attempt string `cbor:"2,keyasint"`
 	// Team is charged for the request and Weight is its part in fairness: the
 	// team's rate in requests a second.
 	Team   string    `cbor:"3,keyasint"`
@@ -64,8 +63,7 @@
 
 // WithAttempt returns the envelope for one sending, with the time that's left
 // and the allowance that's lent to it.
-func (e Envelope) WithAttempt(attempt string, timeoutMillis int64, allowance int) Envelope {
-	e.Attempt = attempt
+func (e Envelope) WithAttempt(timeoutMillis int64, allowance int) Envelope {
 	e.TimeoutMillis = timeoutMillis
 	e.Allowance = allowance
 	return e
--- a/load/load.go
+++ b/load/load.go
@@ -12,6 +12,7 @@
 	"bergamotloom.example/answer"
 	"bergamotloom.example/arrive"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/plan"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/runst"
@@ -93,28 +94,13 @@
 		}
 		next += gap
 		a := l.plan.Draw(random, number)
-		if !wait(ctx, time.Until(start.Add(next))) {
+		if !pause.For(ctx, time.Until(start.Add(next))) {
 			return
 		}
 		l.begin(ctx, a, start.Add(next))
 	}
 }
 
-// wait sleeps and tells whether ctx still goes on.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // begin sends the request on a goroutine of its own, if there is room.
 func (l *Load) begin(ctx context.Context, a arrive.Arrival, due time.Time) {
 	late := float64(time.Since(due).Microseconds()) / float64(time.Millisecond/time.Microsecond)
@@ -139,7 +125,7 @@
 		if sends > l.plan.Resends || !sendAgain(got) {
 			return got
 		}
-		if !wait(ctx, time.Duration(l.plan.ResendMillis)*time.Millisecond) {
+		if !pause.For(ctx, time.Duration(l.plan.ResendMillis)*time.Millisecond) {
 			return got
 		}
 	}
--- a/node/join.go
+++ b/node/join.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"bergamotloom.example/pause"
 )
 
 const (
@@ -22,10 +24,8 @@
 		n.gossip.Join(j)
 	}
 	for !n.enter(ctx) {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, joinMillis*time.Millisecond) {
 			return
-		case <-time.After(joinMillis * time.Millisecond):
 		}
 	}
 	every(ctx, renewCheckMillis, func() { n.renew(ctx) })
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// For waits for a duration, and returns false if ctx ended first.
+// For waits for a duration, and returns false if ctx ended first. A duration
+// that isn't positive is over at once.
 func For(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/target/serve.go
+++ b/target/serve.go
@@ -15,6 +15,7 @@
 
 	"bergamotloom.example/fill"
 	"bergamotloom.example/header"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
 	"bergamotloom.example/runrec"
@@ -143,7 +144,7 @@
 		t.exit(crashExitCode)
 		return uploaded, runrec.Crashed
 	}
-	if !sleep(ctx, t.workTime(now, r.URL.Path)) {
+	if !pause.For(ctx, t.workTime(now, r.URL.Path)) {
 		return uploaded, stopped(ctx, c)
 	}
 	if !t.callAll(ctx, r, now, marker) {
@@ -171,21 +172,6 @@
 	return time.Duration(millis * float64(time.Millisecond))
 }
 
-// sleep waits and tells whether ctx let it wait to the end.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // stopped answers a request whose time ran out or whose caller went away.
 func stopped(ctx context.Context, c echo.Context) string {
 	if c.Request().Context().Err() != nil {
