--- a/config/config.go
+++ b/config/config.go
@@ -20,13 +20,19 @@
 	teams    map[string]team.Team
 	services map[string]servc.Service
 	keys     map[string]string
-	exact    map[string]route.Route
+	exact    map[place]route.Route
 	// prefixes are by what their paths begin with, "/" included; longest is
 	// the length of the longest of these, in bytes.
-	prefixes map[string]route.Route
+	prefixes map[place]route.Route
 	longest  int
 }
 
+// place is where a route begins: its host, empty for any, and its path.
+type place struct {
+	host string
+	path string
+}
+
 // New builds a configuration. Version counts accepted changes from 1; version
 // 0 is the empty configuration before the first one.
 func New(version int64, teams []team.Team, services []servc.Service, routes []route.Route) *Config {
@@ -35,8 +41,8 @@
 		teams:    make(map[string]team.Team, len(teams)),
 		services: make(map[string]servc.Service, len(services)),
 		keys:     make(map[string]string),
-		exact:    make(map[string]route.Route),
-		prefixes: make(map[string]route.Route),
+		exact:    make(map[place]route.Route),
+		prefixes: make(map[place]route.Route),
 	}
 	for _, t := range teams {
 		c.addTeam(t)
@@ -60,11 +66,11 @@
 func (c *Config) addRoute(r route.Route) {
 	if strings.HasSuffix(r.Match, prefixMark) {
 		stem := strings.TrimSuffix(r.Match, "*")
-		c.prefixes[stem] = r
+		c.prefixes[place{r.Host, stem}] = r
 		c.longest = max(c.longest, len(stem))
 		return
 	}
-	c.exact[r.Match] = r
+	c.exact[place{r.Host, r.Match}] = r
 }
 
 // Version returns the number of the accepted change that made this value.
@@ -72,15 +78,20 @@
 	return c.version
 }
 
-// Route returns the route that matches the path: an exact match first, else
-// the longest prefix.
+// Route returns the route of any host that matches the path: an exact match
+// first, else the longest prefix.
 func (c *Config) Route(path string) (route.Route, bool) {
-	if r, ok := c.exact[path]; ok {
+	return c.RouteOn("", path)
+}
+
+// RouteOn returns the route of this host that matches the path, as Route does.
+func (c *Config) RouteOn(host, path string) (route.Route, bool) {
+	if r, ok := c.exact[place{host, path}]; ok {
 		return r, true
 	}
 	path = path[:min(len(path), c.longest)]
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r, ok := c.prefixes[path[:end+1]]; ok {
+		if r, ok := c.prefixes[place{host, path[:end+1]}]; ok {
 			return r, true
 		}
 	}
--- /dev/null
+++ b/heads/heads.go
@@ -0,0 +1,109 @@
+// Package heads writes the heads of HTTP requests that are passed on.
+package heads
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// connectionHeaders concern one connection only and aren't passed on.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Expect":              true,
+}
+
+// DropConnection removes the headers that concern one connection only,
+// those that Connection lists among them.
+func DropConnection(h http.Header) {
+	for _, field := range h["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range connectionHeaders {
+		delete(h, name)
+	}
+}
+
+// Append writes the head of a request, as RFC 9112 has it, up to and with
+// its empty line. The headers are those that are passed on; length is that of
+// the body, -1 if it's sent in chunks.
+func Append(b []byte, r *http.Request, headers http.Header, length int64) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.RequestURI...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", r.Host)
+	for name, values := range headers {
+		for _, v := range values {
+			b = appendField(b, name, v)
+		}
+	}
+	switch {
+	case length < 0:
+		b = appendField(b, "Transfer-Encoding", "chunked")
+	case length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b = appendField(b, "Content-Length", strconv.FormatInt(length, 10))
+	}
+	return append(b, "\r\n"...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// Set puts a header in place of what was there; an empty value removes it.
+// A header without a name is left out.
+func Set(h http.Header, name, value string) {
+	switch {
+	case name == "":
+	case value == "":
+		h.Del(name)
+	default:
+		h.Set(name, value)
+	}
+}
+
+const chunkBytes = 32 << 10
+
+// Chunk returns bytes as one chunk of a body.
+func Chunk(b []byte) []byte {
+	chunk := strconv.AppendInt(nil, int64(len(b)), 16)
+	chunk = append(chunk, "\r\n"...)
+	chunk = append(chunk, b...)
+	return append(chunk, "\r\n"...)
+}
+
+// CopyChunks sends what r holds as chunks, and the last chunk if r ends well.
+func CopyChunks(w io.Writer, r io.Reader) error {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := r.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(Chunk(buffer[:n])); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			_, err = io.WriteString(w, "0\r\n\r\n")
+			return err
+		case err != nil:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/hops/handle.go
@@ -0,0 +1,82 @@
+package hops
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"bergamotloom.example/heads"
+	"bergamotloom.example/output"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/runst"
+	"bergamotloom.example/trip"
+)
+
+// bodyBytes of a request's body are read before it's passed on, so that a slow
+// sender takes no slot of a target.
+const bodyBytes = 256 << 10
+
+// gate is where requests go on.
+type gate interface {
+	Do(ctx context.Context, r *http.Request, h http.Header, body []byte, more func(io.Writer) error, length int64, t trip.Trip) output.Output
+	Load() (running, waiting int)
+}
+
+// Handler serves requests that other nodes send to the gate.
+func Handler(g gate) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o := serve(g, r)
+		running, waiting := g.Load()
+		w.Header().Set(loadHeader, strconv.Itoa(running)+","+strconv.Itoa(waiting))
+		w.Header().Set(runst.Header, string(o.Ran))
+		if o.Answered() {
+			o.Write(w)
+			return
+		}
+		w.Header().Set(reasonHeader, string(o.Reason))
+		w.WriteHeader(o.Reason.Status())
+		// The sender knows the reason even if the detail is lost.
+		_, _ = io.WriteString(w, o.Detail)
+	})
+}
+
+func serve(g gate, r *http.Request) output.Output {
+	t, err := trip.Decode(r.Header.Get(trip.Header))
+	if err != nil {
+		return output.Refused(reason.BadRequest, err.Error())
+	}
+	body, more, length, err := ReadBody(r)
+	if err != nil {
+		return output.Refused(reason.BadRequest, err.Error())
+	}
+	heads.DropConnection(r.Header)
+	return g.Do(r.Context(), r, r.Header, body, more, length, t)
+}
+
+// ReadBody reads a request's body, or the begin of a long one: more then sends
+// the rest. The length is that of all of it, or -1 if it's sent in chunks.
+func ReadBody(r *http.Request) (body []byte, more func(io.Writer) error, length int64, err error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, nil, 0, nil
+	}
+	if r.ContentLength > 0 && r.ContentLength <= bodyBytes {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+		return body, nil, r.ContentLength, err
+	}
+	body, err = io.ReadAll(io.LimitReader(r.Body, bodyBytes))
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	if len(body) < bodyBytes {
+		return body, nil, int64(len(body)), nil
+	}
+	if r.ContentLength > 0 {
+		return body, func(w io.Writer) error {
+			_, err := io.Copy(w, r.Body)
+			return err
+		}, r.ContentLength, nil
+	}
+	return heads.Chunk(body), func(w io.Writer) error { return heads.CopyChunks(w, r.Body) }, -1, nil
+}
--- /dev/null
+++ b/inbnd/inbnd.go
@@ -0,0 +1,317 @@
+// Package inbnd is a node's gate: it takes requests for the target beside the
+// node, lets in as many as the target can run, and passes them on.
+package inbnd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/card"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/conns"
+	"bergamotloom.example/heads"
+	"bergamotloom.example/level"
+	"bergamotloom.example/limit"
+	"bergamotloom.example/notice"
+	"bergamotloom.example/output"
+	"bergamotloom.example/pacer"
+	"bergamotloom.example/parent"
+	"bergamotloom.example/queue"
+	"bergamotloom.example/rank"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/trip"
+	"bergamotloom.example/words"
+)
+
+const (
+	// refusalBytes is the most that is read of a target's refusal.
+	refusalBytes = 64 << 10
+	// rankMillis is by how much a less important rank is due later.
+	rankMillis = 100
+	// silentBeats is after how many missing heartbeats a target is lost.
+	silentBeats = 3
+	// unusedPart of the target's time is the least for which a root is listed.
+	unusedPart = 0.01
+	// loadSmoothing and failSmoothing are the weights of new values in means.
+	loadSmoothing = 0.3
+	failSmoothing = 0.05
+)
+
+// Gate stands before one target. It's safe for many goroutines.
+type Gate struct {
+	clock   clock.Clock
+	words   words.Words
+	service string
+	pool    *conns.Conns
+	queue   *queue.Queue
+	book    *parent.Book
+	log     *slog.Logger
+	// beatMillis is the time between two heartbeats.
+	beatMillis int64
+
+	mutex  sync.Mutex
+	target notice.Notice
+	// known says that target holds a heartbeat, heardAt when the last came.
+	known   bool
+	heardAt int64
+	// left lists targets that said that they leave, by ID, with their start.
+	left     map[string]int64
+	lastLeft string
+	stopping bool
+	limit    *limit.Limit
+	pacer    *pacer.Pacer
+	level    level.Level
+	failing  float64
+	work     work
+}
+
+// work is what arrived since the last tick.
+type work struct {
+	at      float64
+	arrived [rank.Count]float64
+	roots   map[string]float64
+	// offered, parts and uses are means over some ticks.
+	offered float64
+	parts   [rank.Count]float64
+	uses    map[string]float64
+}
+
+// New returns the gate of the target at the pool's address, which runs this
+// service. It lets nothing in before the target's first heartbeat.
+func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, log *slog.Logger) *Gate {
+	return &Gate{
+		clock:      c,
+		words:      w,
+		service:    service,
+		pool:       pool,
+		queue:      queue.New(c),
+		book:       book,
+		log:        log,
+		beatMillis: beatMillis,
+		left:       make(map[string]int64),
+		limit:      limit.New(1),
+		pacer:      pacer.New(),
+		level:      level.Full,
+		work:       work{at: c.Fine(), roots: make(map[string]float64), uses: make(map[string]float64)},
+	}
+}
+
+// Do runs a request at the target as soon as there's room. More sends what
+// follows body, if length is greater than that of body or -1.
+func (g *Gate) Do(ctx context.Context, r *http.Request, h http.Header, body []byte, more func(io.Writer) error, length int64, t trip.Trip) output.Output {
+	began := g.clock.Fine()
+	g.arrived(t)
+	target, ok := g.current()
+	if !ok || t.Service != g.service {
+		return output.Refused(reason.NoInstance, "no target of the service here")
+	}
+	due := began + t.LeftMillis
+	order := began + t.GoalMillis + float64(t.Rank)*rankMillis
+	if why := g.queue.Enter(ctx, order, due); why != "" {
+		return output.Refused(why, "at the gate")
+	}
+	defer g.queue.Leave()
+	// The target may have left while the request waited.
+	if now, ok := g.current(); !ok || now.Target != target.Target {
+		return output.Refused(reason.Leaving, "the target left")
+	}
+	left := due - g.clock.Fine()
+	if left < 1 {
+		return output.Refused(reason.DeadlineExceeded, "at the gate")
+	}
+	return g.run(ctx, r, h, body, more, length, t, target.Target, left)
+}
+
+func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, body []byte, more func(io.Writer) error, length int64, t trip.Trip, target string, left float64) output.Output {
+	g.addHeaders(h, t, target, left)
+	began := g.clock.Fine()
+	due := began + left
+	end := g.book.Begin(t, due)
+	defer end()
+	request := append(heads.Append(nil, r, h, length), body...)
+	id := h.Get(g.words.RequestID)
+	answer, done, sent, err := g.pool.Do(ctx, r.Method, request, more, func(a *http.Response) bool {
+		return g.ours(a, id)
+	}, due)
+	if err != nil {
+		return g.broken(ctx, target, due, sent, err)
+	}
+	o := g.read(answer, done)
+	g.ended(t, o, g.clock.Fine()-began)
+	return o
+}
+
+// addHeaders sets what the dialect lets nodes say to a target.
+func (g *Gate) addHeaders(h http.Header, t trip.Trip, target string, leftMillis float64) {
+	h.Del(trip.Header)
+	heads.Set(h, g.words.TimeLeft, strconv.Itoa(max(int(leftMillis), 1)))
+	heads.Set(h, g.words.Team, t.Team)
+	heads.Set(h, g.words.Origin, t.Origin)
+	heads.Set(h, g.words.WantTarget, target)
+}
+
+// ours tells whether the answer belongs to the request with this identity.
+func (g *Gate) ours(a *http.Response, id string) bool {
+	echo := a.Header.Get(g.words.RequestID)
+	return echo == id || echo == "" && a.Header.Get(g.words.Seal) == ""
+}
+
+// broken says what became of a request without an answer.
+func (g *Gate) broken(ctx context.Context, target string, due float64, sent bool, err error) output.Output {
+	switch {
+	case !sent && errors.Is(err, syscall.ECONNREFUSED):
+		// Nobody listens there: the target is lost until it's heard again.
+		g.lose(target, err)
+		return output.Refused(reason.NoInstance, err.Error())
+	case !sent && g.clock.Fine() >= due:
+		return output.Refused(reason.DeadlineExceeded, err.Error())
+	case !sent:
+		return output.Refused(reason.NoInstance, err.Error())
+	case ctx.Err() != nil:
+		return output.Lost(reason.Cancelled, err.Error())
+	case g.clock.Fine() >= due:
+		return output.Lost(reason.DeadlineExceeded, err.Error())
+	}
+	g.failed(1)
+	return output.Lost(reason.InstanceLost, err.Error())
+}
+
+// read takes the answer, or the begin of a long one.
+func (g *Gate) read(answer *http.Response, done func(whole bool)) output.Output {
+	if answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(g.words.NotRun) != "" {
+		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
+		done(err == nil)
+		g.failed(1)
+		return output.Refused(reason.TargetRefused, "the target answered "+strconv.Itoa(answer.StatusCode)+" without a run")
+	}
+	if answer.Header.Get(g.words.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
+		done(false)
+		return output.Lost(reason.InstanceLost, "the answer isn't the target's")
+	}
+	o, err := output.Read(answer, done)
+	if err != nil {
+		return output.Lost(reason.InstanceLost, err.Error())
+	}
+	return o
+}
+
+// arrived counts a request for the threshold.
+func (g *Gate) arrived(t trip.Trip) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	run := g.limit.RunMillis()
+	g.work.arrived[t.Rank] += run
+	g.work.roots[t.Root] += run
+}
+
+// ended takes in how a run went.
+func (g *Gate) ended(t trip.Trip, o output.Output, millis float64) {
+	if o.Reason != "" || o.Failed() {
+		g.failed(1)
+		return
+	}
+	g.failed(0)
+	kind := t.Root
+	if t.Call {
+		kind = "calls of " + t.Root
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.limit.Observe(kind, millis, g.clock.Now())
+}
+
+func (g *Gate) failed(part float64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.failing += (part - g.failing) * failSmoothing
+}
+
+// Tick adapts the limit and the threshold. It's called ten times a second.
+func (g *Gate) Tick() {
+	running, waiting := g.queue.Load()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	chosen := g.limit.Choose(waiting > 0, now)
+	run := g.limit.RunMillis()
+	g.queue.SetLimit(chosen, run)
+	g.work.tick(g.clock.Fine(), float64(chosen))
+	line := float64(waiting) * run / float64(chosen)
+	g.level = g.pacer.Step(g.work.offered, line, g.work.parts)
+	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
+		g.known = false
+		g.queue.Shut()
+		g.log.Warn("gate: target is silent", "Target", g.target.Target, "SinceMillis", now-g.heardAt, "Running", running)
+	}
+}
+
+// tick turns what arrived since the last one into parts of what limit requests
+// at a time can get done.
+func (w *work) tick(now, limit float64) {
+	passed := max(now-w.at, 1)
+	sum := 0.0
+	for _, a := range w.arrived {
+		sum += a
+	}
+	w.offered += (sum/(passed*limit) - w.offered) * loadSmoothing
+	if sum > 0 {
+		for i, a := range w.arrived {
+			w.parts[i] += (a/sum - w.parts[i]) * loadSmoothing
+		}
+		for root := range w.roots {
+			if _, ok := w.uses[root]; !ok {
+				w.uses[root] = 0
+			}
+		}
+		for root, part := range w.uses {
+			w.uses[root] += (w.roots[root]/sum - part) * loadSmoothing
+		}
+	}
+	clear(w.roots)
+	w.arrived = [rank.Count]float64{}
+	w.at = now
+}
+
+// Describe adds the gate's state to the node's card.
+func (g *Gate) Describe(c card.Card) card.Card {
+	running, waiting := g.queue.Load()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	c.Service = g.service
+	if g.known && !g.target.Leaving && !g.stopping {
+		c.Target = g.target.Target
+	}
+	c.Left = g.lastLeft
+	c.Running, c.Waiting = running, waiting
+	c.Limit = g.limit.Slots()
+	c.RunMillis = float32(g.limit.RunMillis())
+	c.Failing = float32(g.failing)
+	c.Level = int32(g.level)
+	c.Uses = make(map[uint32]float32, len(g.work.uses))
+	for root, part := range g.work.uses {
+		if part >= unusedPart {
+			c.Uses[card.Hash(root)] = float32(part)
+		}
+	}
+	return c
+}
+
+// Stop refuses requests from now on; those that run go on.
+func (g *Gate) Stop() {
+	g.mutex.Lock()
+	g.stopping = true
+	g.mutex.Unlock()
+	g.queue.Shut()
+}
+
+// Load returns how many requests run at the target and how many wait.
+func (g *Gate) Load() (running, waiting int) {
+	return g.queue.Load()
+}
--- /dev/null
+++ b/lines/lines.go
@@ -0,0 +1,84 @@
+// Package lines writes log lines without ever holding up the one who logs.
+//
+// Lines wait in a bounded ring for the duty that writes them. Beyond a number
+// of lines a second they're left out, and a line tells how many were.
+package lines
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"bergamotloom.example/ring"
+)
+
+const (
+	// ringLines is how many lines may wait.
+	ringLines = 2048
+	// perSecond and atOnce bound the lines of requests, which together with
+	// a line's length bounds a node's logs to about 60 KB a second.
+	perSecond = 150
+	atOnce    = 600
+)
+
+// Lines takes whole lines, as slog's handlers write them.
+type Lines struct {
+	to    io.Writer
+	limit *rate.Limiter
+	ring  *ring.Ring[[]byte]
+	mutex sync.Mutex
+	left  int64
+}
+
+// New returns lines that go to the writer once Run is called.
+func New(to io.Writer) *Lines {
+	return &Lines{to: to, limit: rate.NewLimiter(perSecond, atOnce), ring: ring.New[[]byte](ringLines)}
+}
+
+// Write takes one line. It never waits and never fails.
+func (l *Lines) Write(line []byte) (int, error) {
+	if !l.limit.Allow() || !l.ring.Put(append([]byte(nil), line...)) {
+		l.mutex.Lock()
+		l.left++
+		l.mutex.Unlock()
+	}
+	return len(line), nil
+}
+
+// LeftOut returns how many lines were left out since the last call.
+func (l *Lines) LeftOut() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	n := l.left
+	l.left = 0
+	return n
+}
+
+// Run writes lines until the context ends, and then what still waits.
+func (l *Lines) Run(ctx context.Context) {
+	for {
+		line, ok := l.ring.Take(ctx)
+		if !ok {
+			break
+		}
+		l.write(line)
+	}
+	for _, line := range l.ring.Drain(ringLines) {
+		l.write(line)
+	}
+}
+
+// write passes a line on, after the number of those left out before it.
+func (l *Lines) write(line []byte) {
+	if n := l.LeftOut(); n > 0 {
+		note, err := json.Marshal(map[string]any{"level": "WARN", "msg": "log: lines left out", "Count": n})
+		if err == nil {
+			_, _ = l.to.Write(append(note, '\n'))
+		}
+	}
+	// There's nowhere to tell that the output is closed.
+	_, _ = l.to.Write(line)
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,273 @@
+// Package mesh spreads the nodes' cards among them as datagrams.
+//
+// Each node sends its card to all others, or in a large fleet to a few random
+// ones together with others' cards. A lost datagram does no harm: the next card
+// says the same and more. Silence proves nothing; those who choose an instance
+// only avoid the silent ones.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/card"
+	"bergamotloom.example/clock"
+)
+
+const (
+	// busyMillis and restMillis are the times between two cards.
+	busyMillis = 100
+	restMillis = 300
+	// fanout is to how many peers a card goes; a fleet of up to this many
+	// nodes needs no relays.
+	fanout = 20
+	// relayed is how many cards of others go along in a larger fleet.
+	relayed = 10
+	// silentMillis is after how long a peer counts as silent; it's asked only
+	// now and then from then on.
+	silentMillis = 1500
+	// probeMillis is the time between two cards to silent peers.
+	probeMillis = 1000
+	// forgetMillis is after how long a silent peer is forgotten.
+	forgetMillis = 600_000
+	datagram     = 64 << 10
+)
+
+// Mesh is one node's part in the spreading of cards.
+type Mesh struct {
+	clock  clock.Clock
+	log    *slog.Logger
+	socket *net.UDPConn
+	random *rand.Rand
+	// own returns the node's card but for its identity, busy whether the node
+	// has work.
+	own  func() card.Card
+	busy func() bool
+	// onCard takes each newer card of a peer, onGone peers that are forgotten.
+	onCard func(card.Card)
+	onGone func(peer string)
+
+	mutex    sync.Mutex
+	self     card.Card
+	peers    map[string]*peer
+	probedAt int64
+}
+
+type peer struct {
+	address netip.AddrPort
+	card    card.Card
+	known   bool
+	heardAt int64
+	silent  bool
+}
+
+// New returns a mesh that listens on the address of self, and sends once Run
+// is called.
+func New(self card.Card, c clock.Clock, seed uint64, log *slog.Logger, own func() card.Card, busy func() bool, onCard func(card.Card), onGone func(string)) (*Mesh, error) {
+	address, err := net.ResolveUDPAddr("udp", self.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "mesh")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "mesh")
+	}
+	return &Mesh{
+		clock:  c,
+		log:    log,
+		socket: socket,
+		random: rand.New(rand.NewPCG(seed, seed+3)),
+		own:    own,
+		busy:   busy,
+		onCard: onCard,
+		onGone: onGone,
+		self:   self,
+		peers:  make(map[string]*peer),
+	}, nil
+}
+
+// Add makes a peer known by its address, until it's heard or forgotten.
+func (m *Mesh) Add(address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		m.log.Warn("mesh: bad address of a peer", "Address", address)
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if _, ok := m.peers[address]; !ok && address != m.self.Peers {
+		m.peers[address] = &peer{address: parsed, heardAt: m.clock.Now()}
+	}
+}
+
+// Run sends and receives cards until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	go m.receive()
+	for ctx.Err() == nil {
+		m.send()
+		rest := restMillis
+		if m.busy() {
+			rest = busyMillis
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rest) * time.Millisecond):
+		}
+	}
+	// The last card says that the node stops.
+	m.send()
+	_ = m.socket.Close()
+}
+
+// Send tells the peers the node's state at once.
+func (m *Mesh) Send() {
+	m.send()
+}
+
+func (m *Mesh) send() {
+	own := m.own()
+	m.mutex.Lock()
+	m.self.Sequence++
+	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
+	own.Centre, own.Hops = m.self.Centre, m.self.Hops
+	to, cards := m.choose(own)
+	m.mutex.Unlock()
+	text, err := card.Encode(cards)
+	if err != nil {
+		m.log.Error("mesh: a card can't be written", "Error", err.Error())
+		return
+	}
+	for _, address := range to {
+		// A datagram that isn't sent is like one that's lost.
+		_, _ = m.socket.WriteToUDPAddrPort(text, address)
+	}
+}
+
+// choose returns who gets the message, and the cards in it.
+func (m *Mesh) choose(own card.Card) ([]netip.AddrPort, []card.Card) {
+	now := m.clock.Now()
+	probe := now-m.probedAt >= probeMillis
+	if probe {
+		m.probedAt = now
+	}
+	var to []netip.AddrPort
+	var heard []*peer
+	for id, p := range m.peers {
+		silent := now-p.heardAt > silentMillis
+		switch {
+		case now-p.heardAt > forgetMillis:
+			delete(m.peers, id)
+			m.onGone(id)
+			continue
+		case silent && !p.silent && p.known:
+			m.log.Warn("mesh: peer is silent", "Peer", id, "SinceMillis", now-p.heardAt)
+		}
+		p.silent = silent
+		switch {
+		case p.known && !silent:
+			heard = append(heard, p)
+		case probe || !p.known && !silent:
+			to = append(to, p.address)
+		}
+	}
+	cards := []card.Card{own}
+	if len(heard) > fanout {
+		m.random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+		for _, p := range heard[fanout:min(fanout+relayed, len(heard))] {
+			cards = append(cards, p.card)
+		}
+		heard = heard[:fanout]
+	}
+	for _, p := range heard {
+		to = append(to, p.address)
+	}
+	return to, cards
+}
+
+func (m *Mesh) receive() {
+	buffer := make([]byte, datagram)
+	for {
+		n, _, err := m.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Such as an earlier datagram to a port where nobody listens.
+			continue
+		}
+		cards, err := card.Decode(buffer[:n])
+		if err != nil {
+			m.log.Warn("mesh: a message can't be read", "Error", err.Error())
+			continue
+		}
+		for _, c := range cards {
+			if m.take(c) {
+				m.onCard(c)
+			}
+		}
+	}
+}
+
+// take tells whether the card is news of a peer.
+func (m *Mesh) take(c card.Card) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if c.Peers == m.self.Peers {
+		// A peer remembers a start of this node with a later wall clock.
+		if c.Incarnation > m.self.Incarnation {
+			m.self.Incarnation = c.Incarnation + 1
+		}
+		return false
+	}
+	p, ok := m.peers[c.Peers]
+	if !ok {
+		address, err := netip.ParseAddrPort(c.Peers)
+		if err != nil {
+			return false
+		}
+		p = &peer{address: address}
+		m.peers[c.Peers] = p
+	}
+	if p.known && !c.Newer(p.card) {
+		return false
+	}
+	if !p.known || p.card.Incarnation != c.Incarnation {
+		m.log.Info("mesh: peer is known", "Peer", c.Peers, "Incarnation", c.Incarnation, "Service", c.Service, "Target", c.Target)
+	}
+	p.card, p.known, p.heardAt = c, true, m.clock.Now()
+	return true
+}
+
+// Heard returns how many peers are known, and of how many there's news.
+func (m *Mesh) Heard() (known, heard int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.clock.Now()
+	for _, p := range m.peers {
+		if p.known && now-p.heardAt <= silentMillis {
+			heard++
+		}
+	}
+	return len(m.peers), heard
+}
+
+// Cards returns the newest cards of all peers that aren't silent.
+func (m *Mesh) Cards() []card.Card {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.clock.Now()
+	var all []card.Card
+	for _, p := range m.peers {
+		if p.known && now-p.heardAt <= silentMillis {
+			all = append(all, p.card)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,199 @@
+// Package queue lets a bounded number of requests run at a target and keeps the
+// others in the order in which they're due.
+package queue
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/reason"
+)
+
+// Queue is the waiting line of one gate. It's safe for many goroutines.
+type Queue struct {
+	mutex   sync.Mutex
+	clock   clock.Clock
+	limit   int
+	open    bool
+	running int
+	waiting line
+	serial  int64
+	// runMillis is how long a run takes at least that is worth starting.
+	runMillis float64
+}
+
+// New returns a closed queue, which refuses all requests.
+func New(c clock.Clock) *Queue {
+	return &Queue{clock: c}
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	// order is when the request should have begun; the lowest one is next.
+	order  float64
+	serial int64
+	due    float64
+	begin  chan reason.Reason
+	at     int
+}
+
+// Enter waits until the request may run. The request with the lowest order
+// goes first; one that couldn't end before due is refused. The reason is empty
+// if the request may run: then Leave must be called when it has ended.
+func (q *Queue) Enter(ctx context.Context, order, due float64) reason.Reason {
+	q.mutex.Lock()
+	if !q.open {
+		q.mutex.Unlock()
+		return reason.Leaving
+	}
+	if q.running < q.limit && len(q.waiting) == 0 {
+		q.running++
+		q.mutex.Unlock()
+		return ""
+	}
+	if q.clock.Fine()+q.waitMillis(order)+q.runMillis > due {
+		q.mutex.Unlock()
+		return reason.Overloaded
+	}
+	q.serial++
+	w := &waiter{order: order, serial: q.serial, due: due, begin: make(chan reason.Reason, 1)}
+	heap.Push(&q.waiting, w)
+	q.mutex.Unlock()
+	select {
+	case r := <-w.begin:
+		return r
+	case <-ctx.Done():
+		return q.giveUp(w)
+	}
+}
+
+// waitMillis estimates how long a request with this order would wait.
+func (q *Queue) waitMillis(order float64) float64 {
+	if q.limit <= 0 {
+		return 0
+	}
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.order <= order {
+			ahead++
+		}
+	}
+	return float64(ahead) * q.runMillis / float64(q.limit)
+}
+
+func (q *Queue) giveUp(w *waiter) reason.Reason {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if w.at >= 0 {
+		heap.Remove(&q.waiting, w.at)
+		return reason.Cancelled
+	}
+	if r := <-w.begin; r != "" {
+		return r
+	}
+	// It was let in at the moment when its caller left.
+	q.running--
+	q.next()
+	return reason.Cancelled
+}
+
+// Leave notes the end of a run.
+func (q *Queue) Leave() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.running--
+	q.next()
+}
+
+// SetLimit sets how many requests may run at once, and how long a run takes,
+// in milliseconds.
+func (q *Queue) SetLimit(limit int, runMillis float64) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.limit, q.runMillis = limit, runMillis
+	q.next()
+}
+
+// Open lets requests in.
+func (q *Queue) Open() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.open = true
+	q.next()
+}
+
+// Shut refuses those that wait and all that come.
+func (q *Queue) Shut() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.open = false
+	for len(q.waiting) > 0 {
+		q.pop().begin <- reason.Leaving
+	}
+}
+
+// Load returns how many requests run and how many wait.
+func (q *Queue) Load() (running, waiting int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.running, len(q.waiting)
+}
+
+// next starts those that may run. The mutex is held.
+func (q *Queue) next() {
+	now := q.clock.Fine()
+	for q.open && q.running < q.limit && len(q.waiting) > 0 {
+		w := q.pop()
+		if now+q.runMillis/2 > w.due {
+			w.begin <- reason.Overloaded
+			continue
+		}
+		q.running++
+		w.begin <- ""
+	}
+}
+
+func (q *Queue) pop() *waiter {
+	w, ok := heap.Pop(&q.waiting).(*waiter)
+	if !ok {
+		panic("queue: the line holds something else than waiters")
+	}
+	return w
+}
+
+// line is a heap of waiters.
+type line []*waiter
+
+func (l line) Len() int { return len(l) }
+
+func (l line) Less(i, j int) bool {
+	if l[i].order != l[j].order {
+		return l[i].order < l[j].order
+	}
+	return l[i].serial < l[j].serial
+}
+
+func (l line) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].at, l[j].at = i, j
+}
+
+func (l *line) Push(v any) {
+	w, ok := v.(*waiter)
+	if !ok {
+		panic("queue: only waiters wait")
+	}
+	w.at = len(*l)
+	*l = append(*l, w)
+}
+
+func (l *line) Pop() any {
+	old := *l
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l = old[:len(old)-1]
+	w.at = -1
+	return w
+}
--- /dev/null
+++ b/ration/ration.go
@@ -0,0 +1,201 @@
+// Package ration keeps teams within their rate and burst over all nodes.
+//
+// Each node counts what it lets in and tells the others; the counts only grow,
+// so that lost and repeated messages do no harm. Every node runs the same token
+// bucket over the sum of all counts. What other nodes let in since they were
+// last heard isn't known, so near the limit each node lets in only the part of
+// what is asked that the rate allows.
+package ration
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"bergamotloom.example/card"
+	"bergamotloom.example/clock"
+	"bergamotloom.example/team"
+)
+
+const (
+	millisPerSecond = 1000
+	// lagMillis is how old the counts of others are, at most on a calm day.
+	lagMillis = 250
+	// askSmoothing is the weight of a new count in the mean rate of asks.
+	askSmoothing = 0.2
+	// mostRetryMillis bounds Retry-After.
+	mostRetryMillis = 2000
+)
+
+// Ration decides on the requests of all teams at one node. It's safe for many
+// goroutines.
+type Ration struct {
+	mutex  sync.Mutex
+	clock  clock.Clock
+	random *rand.Rand
+	full   bool
+	teams  map[uint32]*account
+	peers  map[string]*peer
+}
+
+// account is what the node knows of one team.
+type account struct {
+	rate  float64
+	burst float64
+	// level is the number of tokens left; it's below zero after more was let
+	// in than there was.
+	level    float64
+	filledAt float64
+	admitted int64
+	// asked counts requests since the last tick, asks is their mean rate.
+	asked int64
+	asks  float64
+}
+
+// peer is what another node has said last.
+type peer struct {
+	incarnation int64
+	admitted    map[uint32]int64
+	asks        map[uint32]float32
+	heardAt     int64
+}
+
+// New returns an empty ration. Full tells that the fleet starts for the first
+// time; otherwise a burst may have been used just before, and buckets start
+// empty.
+func New(c clock.Clock, full bool, seed uint64) *Ration {
+	return &Ration{
+		clock:  c,
+		random: rand.New(rand.NewPCG(seed, seed+2)),
+		full:   full,
+		teams:  make(map[uint32]*account),
+		peers:  make(map[string]*peer),
+	}
+}
+
+// SetTeams puts the rates of these teams in force. Teams without a rate aren't
+// limited.
+func (q *Ration) SetTeams(teams []team.Team) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.clock.Fine()
+	for _, t := range teams {
+		a, ok := q.teams[card.Hash(t.Name)]
+		if !ok {
+			a = &account{filledAt: now}
+			q.teams[card.Hash(t.Name)] = a
+			if q.full {
+				a.level = t.Burst
+			}
+		}
+		a.fill(now)
+		a.rate, a.burst = t.Rate, t.Burst
+		a.level = min(a.level, a.burst)
+	}
+	// Teams that come later have used nothing before.
+	q.full = true
+}
+
+func (a *account) fill(now float64) {
+	a.level = min(a.level+(now-a.filledAt)*a.rate/millisPerSecond, a.burst)
+	a.filledAt = now
+}
+
+// Take takes one request of the team. If it's over its rate, ok is false and
+// retryMillis tells when there may be room.
+func (q *Ration) Take(name string) (retryMillis int64, ok bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	a, ok := q.teams[card.Hash(name)]
+	if !ok || a.rate <= 0 {
+		return 0, true
+	}
+	a.asked++
+	a.fill(q.clock.Fine())
+	if !q.admits(card.Hash(name), a) {
+		wait := (1 - a.level) * millisPerSecond / a.rate
+		return min(max(int64(wait), lagMillis), mostRetryMillis), false
+	}
+	a.admitted++
+	a.level--
+	return 0, true
+}
+
+// admits tells whether there's a token for one request more.
+func (q *Ration) admits(team uint32, a *account) bool {
+	asks := a.asks
+	for _, p := range q.peers {
+		asks += float64(p.asks[team])
+	}
+	// What may have been let in elsewhere since the counts were told.
+	unseen := asks * lagMillis / millisPerSecond
+	if a.level >= 1+unseen {
+		return true
+	}
+	if a.level <= -unseen {
+		return false
+	}
+	return asks <= a.rate || q.random.Float64() < a.rate/asks
+}
+
+// Learn takes in the newest card of another node.
+func (q *Ration) Learn(c card.Card) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	p, ok := q.peers[c.Peers]
+	if !ok {
+		// What was let in before isn't ours to count: the bucket began then.
+		p = &peer{incarnation: c.Incarnation, admitted: c.Admitted}
+		q.peers[c.Peers] = p
+	}
+	if c.Incarnation != p.incarnation {
+		p.incarnation, p.admitted = c.Incarnation, nil
+	}
+	now := q.clock.Fine()
+	for team, count := range c.Admitted {
+		if more := count - p.admitted[team]; more > 0 {
+			if a, ok := q.teams[team]; ok {
+				a.fill(now)
+				a.level -= float64(more)
+			}
+		}
+	}
+	p.admitted, p.asks, p.heardAt = c.Admitted, c.Asked, q.clock.Now()
+}
+
+// Forget drops a node that's gone.
+func (q *Ration) Forget(id string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if p, ok := q.peers[id]; ok {
+		// Its counts stay: it may come back.
+		p.asks = nil
+	}
+}
+
+// Tick updates the rates of asks after millis since the last tick.
+func (q *Ration) Tick(millis float64) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, a := range q.teams {
+		rate := float64(a.asked) * millisPerSecond / millis
+		a.asks += (rate - a.asks) * askSmoothing
+		a.asked = 0
+	}
+}
+
+// Describe adds the counts and rates to the node's card.
+func (q *Ration) Describe(c card.Card) card.Card {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	c.Admitted = make(map[uint32]int64, len(q.teams))
+	c.Asked = make(map[uint32]float32, len(q.teams))
+	for t, a := range q.teams {
+		if a.admitted > 0 {
+			c.Admitted[t] = a.admitted
+			if a.asks > 0.05 {
+				c.Asked[t] = float32(a.asks)
+			}
+		}
+	}
+	return c
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -24,6 +24,7 @@
 	NotInForce       Reason = "NotInForce"
 	StoreUnavailable Reason = "StoreUnavailable"
 	CrashSuspect     Reason = "CrashSuspect"
+	TargetRefused    Reason = "TargetRefused"
 	InstanceLost     Reason = "InstanceLost"
 	DeadlineExceeded Reason = "DeadlineExceeded"
 	Cancelled        Reason = "Cancelled"
@@ -51,6 +52,7 @@
 	NotInForce:       {503, "This node has no configuration in force yet, or has been cut off for too long."},
 	StoreUnavailable: {503, "The request has to be recorded before it runs, and the store is out."},
 	CrashSuspect:     {503, "This request crashed the targets that ran it and is refused for a while."},
+	TargetRefused:    {503, "The target refused the request before it ran any of it."},
 	InstanceLost:     {502, "The instance was lost while it had the request."},
 	DeadlineExceeded: {504, "The request's time ran out."},
 	Cancelled:        {499, "The caller went away."},
--- a/route/route.go
+++ b/route/route.go
@@ -1,7 +1,10 @@
 // Package route holds what the configuration says of one route.
 package route
 
-import "bergamotloom.example/rank"
+import (
+	"bergamotloom.example/part"
+	"bergamotloom.example/rank"
+)
 
 // Route leads requests whose path matches to a service. It's a value.
 type Route struct {
@@ -10,10 +13,15 @@
 	// Match is the path that the route takes: exact, or a prefix if it ends
 	// in "/*". The longest match wins.
 	Match string
+	// Host is the host that the route takes; empty means any.
+	Host string
 	// Methods lists the HTTP methods that the route takes; empty means all.
 	Methods []string
 	// Service names the service that runs the requests.
 	Service string
+	// Parts splits the requests between services by weight; if it isn't empty,
+	// Service is.
+	Parts []part.Part
 	// Teams lists the teams that may use the route; empty means all teams.
 	Teams []string
 	// OpenToAll lets requests without a key in.
@@ -24,6 +32,12 @@
 	Rank rank.Rank
 	// TimeoutMillis is the longest time for a whole request, in milliseconds.
 	TimeoutMillis int64
+	// ObjectiveMillis is the time within which an answer is worth most to the
+	// caller, in milliseconds; 0 means that there's no objective.
+	ObjectiveMillis int64
+	// Attempts is the number of instances that one request may be sent to; 0
+	// leaves it to Retries.
+	Attempts int
 	// Retries is the number of retries for one request over its whole chain.
 	Retries int
 	// BodyLimit is the largest body that the route takes, in bytes; 0 means
--- /dev/null
+++ b/sidecr/join.go
@@ -0,0 +1,160 @@
+package sidecr
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// nodesTable lists the nodes by the addresses at which peers reach them.
+	nodesTable = "Nodes"
+	// leftTable lists the targets that have left, with their start times.
+	leftTable  = "Left"
+	configPath = "/loom/config"
+	// joinPause to mostJoinPause pass between two tries to reach the store.
+	joinPause     = 150 * time.Millisecond
+	mostJoinPause = 2 * time.Second
+	// settlePause after which the nodes are read once more: the others have
+	// started meanwhile.
+	settlePause = 1500 * time.Millisecond
+	// rereadPause passes between two looks whether the fleet is still heard.
+	rereadPause = 15 * time.Second
+	// keepWait bounds how long a leaving target waits for its acknowledgement
+	// while the store is asked to remember it.
+	keepWait = 600 * time.Millisecond
+	// behindMillis is how often peers' versions are compared.
+	behindMillis = 100
+	fetchTimeout = time.Second
+	configBytes  = 8 << 20
+)
+
+// join writes the node into the store and reads who else is there.
+func (n *Sidecar) join(ctx context.Context) {
+	for _, seed := range n.siting.Seeds {
+		n.log.Info("node: seed", "Address", seed)
+	}
+	n.retry(ctx, "the node's row", func() error {
+		return n.store.Put(ctx, nodesTable, n.siting.Peers, []byte(n.siting.Name))
+	})
+	if !n.siting.FirstStart {
+		n.retry(ctx, "the targets that left", func() error { return n.readLeft(ctx) })
+	}
+	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
+	n.sleep(ctx, settlePause)
+	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
+	for ctx.Err() == nil {
+		n.sleep(ctx, rereadPause+rand.N(rereadPause))
+		if known, heard := n.mesh.Heard(); heard*2 < known {
+			n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
+		}
+	}
+}
+
+func (n *Sidecar) readNodes(ctx context.Context) error {
+	rows, _, err := n.store.Rows(ctx, nodesTable)
+	for _, r := range rows {
+		n.mesh.Add(r.Key)
+	}
+	return err
+}
+
+func (n *Sidecar) readLeft(ctx context.Context) error {
+	rows, _, err := n.store.Rows(ctx, leftTable)
+	for _, r := range rows {
+		born, errBorn := strconv.ParseInt(string(r.Value), 10, 64)
+		if errBorn != nil {
+			n.log.Warn("node: a row of a target that left can't be read", "Target", r.Key, "Error", errBorn.Error())
+			continue
+		}
+		n.gate.Forget(r.Key, born)
+	}
+	return err
+}
+
+// keepLeave lets the store remember that a target has left, so that this node
+// knows it after a restart too.
+func (n *Sidecar) keepLeave(ctx context.Context, target string) {
+	ctx, cancel := context.WithTimeout(ctx, keepWait)
+	defer cancel()
+	born := strconv.FormatInt(n.gate.Born(target), 10)
+	if err := n.store.Put(ctx, leftTable, target, []byte(born)); err != nil {
+		n.log.Warn("node: the store doesn't remember a target that leaves", "Target", target, "Error", err.Error())
+	}
+}
+
+// retry repeats work until it succeeds, ever less often.
+func (n *Sidecar) retry(ctx context.Context, what string, work func() error) {
+	pause := joinPause
+	for lost := false; ctx.Err() == nil; {
+		err := work()
+		if err == nil {
+			if lost {
+				n.log.Info("node: store regained", "For", what)
+			}
+			return
+		}
+		if !lost {
+			n.log.Warn("node: store lost", "For", what, "Error", err.Error())
+		}
+		lost = true
+		n.sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, mostJoinPause)
+	}
+}
+
+func (n *Sidecar) sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// catchUp fetches the configuration from a peer that has a newer one.
+func (n *Sidecar) catchUp(ctx context.Context) {
+	client := &http.Client{Timeout: fetchTimeout}
+	behind := 0
+	for ctx.Err() == nil {
+		n.sleep(ctx, behindMillis*time.Millisecond)
+		newest, peer := n.follow.Version(), ""
+		for _, c := range n.mesh.Cards() {
+			if c.Version > newest {
+				newest, peer = c.Version, c.Peers
+			}
+		}
+		if peer == "" {
+			behind = 0
+			continue
+		}
+		// The store's own word is about to come, in most cases.
+		if behind++; behind < 2 {
+			continue
+		}
+		if err := n.fetch(ctx, client, peer); err != nil {
+			n.log.Warn("node: no configuration from a peer", "Peer", peer, "Version", newest, "Error", err.Error())
+		}
+	}
+}
+
+func (n *Sidecar) fetch(ctx context.Context, client *http.Client, peer string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+configPath, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "fetch")
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		client.CloseIdleConnections()
+		return errors.Wrap(err, "fetch")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, configBytes))
+	if err != nil || answer.StatusCode != http.StatusOK {
+		return errors.Errorf("fetch: status %d, %v", answer.StatusCode, err)
+	}
+	return n.follow.Take(content, "peer "+peer)
+}
--- /dev/null
+++ b/sidecr/ports.go
@@ -0,0 +1,84 @@
+package sidecr
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/hops"
+)
+
+const (
+	// headerTimeout is how long a caller may take for a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep their connections idle.
+	idleTimeout = 2 * time.Minute
+	headerBytes = 64 << 10
+	// lameDuck is how long requests are still taken after a stop signal:
+	// callers ask once a second whether the node is ready, and leave after two
+	// misses.
+	lameDuck = 3 * time.Second
+	// stopReserve of the grace is kept for the last steps.
+	stopReserve = 700 * time.Millisecond
+	stopPoll    = 50 * time.Millisecond
+)
+
+// listen opens all ports and serves them.
+func (n *Sidecar) listen(ready, control http.Handler) ([]*http.Server, error) {
+	ports := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"control", n.siting.Control, control},
+		{"hops", n.siting.Hops, n.serve(hops.Handler(n.gate))},
+		{"peers", n.siting.Peers, n.peers()},
+		{"metrics", n.siting.Metrics, n.metrics()},
+		{"callers", n.siting.Callers, n.serve(n.entry)},
+		{"ready", n.siting.Ready, ready},
+	}
+	var servers []*http.Server
+	for _, p := range ports {
+		var lc net.ListenConfig
+		l, err := lc.Listen(context.Background(), "tcp", p.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "node: the port for %s", p.name)
+		}
+		s := &http.Server{
+			Handler:           p.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    headerBytes,
+		}
+		servers = append(servers, s)
+		go func() { n.failed(p.name, s.Serve(l)) }()
+	}
+	return servers, nil
+}
+
+// stop ends the node as planned: it takes no new work for its target, lets the
+// callers go elsewhere, and answers all requests that it has read.
+func (n *Sidecar) stop(servers []*http.Server) {
+	began := time.Now()
+	grace := time.Duration(n.siting.GraceMillis)*time.Millisecond - stopReserve
+	n.stopping.Store(true)
+	n.gate.Stop()
+	n.mesh.Send()
+	n.log.Info("node: stopping", "Active", n.active.Load())
+	for {
+		passed := time.Since(began)
+		if passed >= grace || passed >= lameDuck && n.active.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(began), stopPoll))
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			n.log.Warn("node: a port was closed with requests open", "Error", err.Error(), "Active", n.active.Load())
+		}
+	}
+}
--- a/team/team.go
+++ b/team/team.go
@@ -1,6 +1,8 @@
 // Package team holds what the configuration says of one team.
 package team
 
+import "bergamotloom.example/rank"
+
 // Team is a customer that sends requests. It's a value and never changes.
 type Team struct {
 	// Name identifies the team in the configuration, reports and logs.
@@ -10,6 +12,9 @@
 	Rate float64
 	// Burst is the number of requests that it may send at once above Rate.
 	Burst float64
+	// Rank goes before the rank of the route if Ranked is set.
+	Rank   rank.Rank
+	Ranked bool
 	// Keys holds the hashes of the team's keys, as `key new` prints them.
 	Keys []string
 }
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -37,6 +37,7 @@
 func table() []Verb {
 	return []Verb{
 		nodeVerb(),
+		sidecarVerb(),
 		checkVerb(),
 		applyVerb(),
 		fetchVerb(),
