--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -16,15 +16,15 @@
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
+	"bergamotloom.example/cutoff"
+	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
-	"bergamotloom.example/level"
 	"bergamotloom.example/limit"
 	"bergamotloom.example/notice"
 	"bergamotloom.example/output"
 	"bergamotloom.example/pacer"
 	"bergamotloom.example/parent"
 	"bergamotloom.example/queue"
-	"bergamotloom.example/rank"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/trip"
 	"bergamotloom.example/words"
@@ -67,7 +67,7 @@
 	stopping bool
 	limit    *limit.Limit
 	pacer    *pacer.Pacer
-	level    level.Level
+	cutoff   cutoff.Cutoff
 	failing  float64
 	work     work
 }
@@ -75,11 +75,11 @@
 // work is what arrived since the last tick.
 type work struct {
 	at      float64
-	arrived [rank.Count]float64
+	arrived [grade.Count]float64
 	roots   map[string]float64
 	// offered, parts and uses are means over some ticks.
 	offered float64
-	parts   [rank.Count]float64
+	parts   [grade.Count]float64
 	uses    map[string]float64
 }
 
@@ -98,7 +98,7 @@
 		left:       make(map[string]int64),
 		limit:      limit.New(1),
 		pacer:      pacer.New(),
-		level:      level.Full,
+		cutoff:     cutoff.Full,
 		work:       work{at: c.Fine(), roots: make(map[string]float64), uses: make(map[string]float64)},
 	}
 }
@@ -113,7 +113,7 @@
 		return output.Refused(reason.NoInstance, "no target of the service here")
 	}
 	due := began + t.LeftMillis
-	order := began + t.GoalMillis + float64(t.Rank)*rankMillis
+	order := began + t.GoalMillis + float64(t.Grade.Route())*rankMillis
 	if why := g.queue.Enter(ctx, order, due); why != "" {
 		return output.Refused(why, "at the gate")
 	}
@@ -133,10 +133,10 @@
 	g.addHeaders(h, t, target, left)
 	began := g.clock.Fine()
 	due := began + left
-	end := g.book.Begin(t, due)
-	defer end()
 	request := append(heads.Append(nil, r, h, length), body...)
 	id := h.Get(g.words.RequestID)
+	g.book.Begin(id, t)
+	defer g.book.End(id)
 	answer, done, sent, err := g.pool.Do(ctx, r.Method, request, more, func(a *http.Response) bool {
 		return g.ours(a, id)
 	}, due)
@@ -207,7 +207,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	run := g.limit.RunMillis()
-	g.work.arrived[t.Rank] += run
+	g.work.arrived[t.Grade] += run
 	g.work.roots[t.Root] += run
 }
 
@@ -244,7 +244,7 @@
 	g.queue.SetLimit(chosen, run)
 	g.work.tick(g.clock.Fine(), float64(chosen))
 	line := float64(waiting) * run / float64(chosen)
-	g.level = g.pacer.Step(g.work.offered, line, g.work.parts)
+	g.cutoff = g.pacer.Step(g.work.offered, line, g.work.parts)
 	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
 		g.known = false
 		g.queue.Shut()
@@ -275,7 +275,7 @@
 		}
 	}
 	clear(w.roots)
-	w.arrived = [rank.Count]float64{}
+	w.arrived = [grade.Count]float64{}
 	w.at = now
 }
 
@@ -293,7 +293,7 @@
 	c.Limit = g.limit.Slots()
 	c.RunMillis = float32(g.limit.RunMillis())
 	c.Failing = float32(g.failing)
-	c.Level = int32(g.level)
+	c.Cutoff = float32(g.cutoff)
 	c.Uses = make(map[uint32]float32, len(g.work.uses))
 	for root, part := range g.work.uses {
 		if part >= unusedPart {
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -16,6 +16,7 @@
 
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
+	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/hops"
 	"bergamotloom.example/keys"
@@ -124,7 +125,7 @@
 	}
 	e.trace(q)
 	if !q.trip.Call {
-		if !e.screen.Admits(q.trip.Root, q.trip.Rank) {
+		if !e.screen.Admits(q.trip.Root, q.trip.Grade) {
 			return output.Refused(reason.Overloaded, "a service that the route needs is overloaded")
 		}
 		if retry, ok := e.ration.Take(q.team.Name); !ok {
@@ -173,21 +174,15 @@
 		goal = left
 	}
 	q.trip = trip.Trip{
-		Root: q.route.Name, Rank: q.route.Rank, Team: q.team.Name, Origin: e.service,
+		Root: q.route.Name, Grade: grade.New(q.team.Rank, q.team.Ranked, q.route.Rank), Team: q.team.Name, Origin: e.service,
 		LeftMillis: left, GoalMillis: goal, Idempotent: q.route.Idempotent,
 	}
-	if q.team.Ranked {
-		q.trip.Rank = q.team.Rank
-	}
 	if !e.isCall(q) {
 		return
 	}
 	q.trip.Call = true
-	if parent, off, ok := e.book.Find(q.began + named); ok {
-		e.log.Info("entry: call", "ID", q.id, "Route", q.route.Name, "Left", named, "Off", off, "Running", e.book.Len(), "Parent", parent.Root)
-		q.trip.Root, q.trip.Rank, q.trip.Repeat = parent.Root, parent.Rank, parent.Repeat
-	} else {
-		e.log.Info("entry: call without parent", "ID", q.id, "Route", q.route.Name, "Left", named, "Off", off, "Running", e.book.Len(), "Parent", parent.Root)
+	if p, ok := e.book.Find(q.id); ok {
+		q.trip.Root, q.trip.Grade, q.trip.Repeat = p.Root, p.Grade, p.Repeat
 	}
 }
 
--- a/outbnd/record.go
+++ b/outbnd/record.go
@@ -21,7 +21,7 @@
 		"ID", q.id,
 		"Route", q.route.Name,
 		"Root", q.trip.Root,
-		"Rank", q.trip.Rank.String(),
+		"Grade", q.trip.Grade,
 		"Team", q.team.Name,
 		"Service", q.trip.Service,
 		"Call", q.trip.Call,
@@ -33,6 +33,6 @@
 		"Millis", now-q.began,
 		"LeftMillis", q.due-now,
 		"Config", q.version,
-		"Share", e.screen.Share(q.trip.Root, q.trip.Rank),
+		"Share", e.screen.Share(q.trip.Root, q.trip.Grade),
 	)
 }
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -7,8 +7,8 @@
 package pacer
 
 import (
-	"bergamotloom.example/level"
-	"bergamotloom.example/rank"
+	"bergamotloom.example/cutoff"
+	"bergamotloom.example/grade"
 )
 
 const (
@@ -29,26 +29,26 @@
 	leastUp = 0.01
 	// leastPart is the least part of the arrivals that the step counts with.
 	leastPart = 0.1
-	// closedShare is the share at which the next rank is held back too.
+	// closedShare is the share at which the next grade is held back too.
 	closedShare = 0.02
 )
 
 // Pacer holds the threshold of one gate. It isn't safe for concurrent use.
 type Pacer struct {
-	// at is the rank that is admitted in part, share the part.
-	at    rank.Rank
+	// at is the grade that is admitted in part, share the part.
+	at    grade.Grade
 	share float64
 }
 
 // New returns a pacer that lets everything in.
 func New() *Pacer {
-	return &Pacer{at: rank.Count - 1, share: 1}
+	return &Pacer{at: grade.Count - 1, share: 1}
 }
 
 // Step moves the threshold. Offered is the work that arrives in a time, in
 // parts of what the target could do in it; waiting is how long the line takes,
-// in milliseconds; parts is how much of the arriving work each rank makes.
-func (p *Pacer) Step(offered, waiting float64, parts [rank.Count]float64) level.Level {
+// in milliseconds; parts is how much of the arriving work each grade makes.
+func (p *Pacer) Step(offered, waiting float64, parts [grade.Count]float64) cutoff.Cutoff {
 	off := offered - fullPart
 	if waiting > waitMillis {
 		off += (waiting - waitMillis) / drainMillis
@@ -60,12 +60,12 @@
 	} else {
 		p.lower(-change)
 	}
-	return p.Level()
+	return p.Cutoff()
 }
 
 func (p *Pacer) raise(change float64) {
 	p.share = min(p.share*(1+change)+leastUp, 1)
-	if p.share == 1 && p.at < rank.Count-1 {
+	if p.share == 1 && p.at < grade.Count-1 {
 		p.at++
 		p.share = closedShare
 	}
@@ -84,7 +84,7 @@
 	p.share = closedShare
 }
 
-// Level returns the threshold.
-func (p *Pacer) Level() level.Level {
-	return level.New(p.at, p.share)
+// Cutoff returns the threshold.
+func (p *Pacer) Cutoff() cutoff.Cutoff {
+	return cutoff.New(p.at, p.share)
 }
--- a/parent/parent.go
+++ b/parent/parent.go
@@ -1,66 +1,55 @@
 // Package parent finds the request for which a target makes a call, where the
 // call carries no token of it.
 //
-// A call expires when its parent does, so the parent is taken to be the running
-// request whose deadline lies nearest to the call's.
+// Targets name their calls after the request that they run: the call's identity
+// is that of the request, a separator and a part of its own.
 package parent
 
 import (
-	"math"
+	"strings"
 	"sync"
 
 	"bergamotloom.example/trip"
 )
 
-// toleranceMillis is how far the deadlines may lie apart: a call's deadline is
-// rounded to a millisecond, and the call takes some time to be read.
-const toleranceMillis = 12
-
 // Book lists the requests that the target beside this node is running. It's
 // safe for many goroutines.
 type Book struct {
-	mutex sync.Mutex
-	runs  map[int64]run
-	next  int64
+	separator string
+	mutex     sync.Mutex
+	runs      map[string]trip.Trip
 }
 
-type run struct {
-	due  float64
-	trip trip.Trip
+// New returns an empty book. Separator stands between the two parts of a call's
+// identity.
+func New(separator string) *Book {
+	return &Book{separator: separator, runs: make(map[string]trip.Trip)}
 }
 
-// New returns an empty book.
-func New() *Book {
-	return &Book{runs: make(map[int64]run)}
+// Begin notes that the target runs the request with this identity.
+func (b *Book) Begin(id string, t trip.Trip) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.runs[id] = t
 }
 
-// Begin notes that the target runs a request until due, in milliseconds, and
-// returns the function that notes its end.
-func (b *Book) Begin(t trip.Trip, due float64) (end func()) {
+// End notes the end of the run.
+func (b *Book) End(id string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.next++
-	serial := b.next
-	b.runs[serial] = run{due: due, trip: t}
-	return func() {
-		b.mutex.Lock()
-		defer b.mutex.Unlock()
-		delete(b.runs, serial)
-	}
+	delete(b.runs, id)
 }
 
-// Find returns the running request whose deadline is nearest to due, and by
-// how much the two differ; ok is false if none is near enough.
-func (b *Book) Find(due float64) (t trip.Trip, offMillis float64, ok bool) {
+// Find returns the running request for which a call is made.
+func (b *Book) Find(call string) (trip.Trip, bool) {
+	at := strings.LastIndex(call, b.separator)
+	if at <= 0 {
+		return trip.Trip{}, false
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	off := math.Inf(1)
-	for _, r := range b.runs {
-		if d := math.Abs(r.due - due); d < off {
-			off, t = d, r.trip
-		}
-	}
-	return t, off, off <= toleranceMillis
+	t, ok := b.runs[call[:at]]
+	return t, ok
 }
 
 // Len returns how many requests run.
--- a/screen/screen.go
+++ b/screen/screen.go
@@ -12,14 +12,14 @@
 
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
-	"bergamotloom.example/level"
-	"bergamotloom.example/rank"
+	"bergamotloom.example/cutoff"
+	"bergamotloom.example/grade"
 )
 
 const (
 	// staleMillis is how old a threshold may be that counts.
 	staleMillis = 1000
-	// leastShare of each rank is let in, so that no kind of request starves.
+	// leastShare of each grade is let in, so that no kind of request starves.
 	leastShare = 0.25
 	// cacheMillis is for how long a share is used before it's worked out again.
 	cacheMillis = 50
@@ -37,14 +37,14 @@
 type gate struct {
 	service string
 	slots   float64
-	level   level.Level
+	cutoff  cutoff.Cutoff
 	uses    map[uint32]float32
 	heardAt int64
 }
 
 type key struct {
-	root uint32
-	rank rank.Rank
+	root  uint32
+	grade grade.Grade
 }
 
 type share struct {
@@ -71,7 +71,7 @@
 		return
 	}
 	speed := float64(max(c.Limit, 1)) / float64(max(c.RunMillis, 1))
-	s.gates[c.Peers] = gate{service: c.Service, slots: speed, level: level.Level(c.Level), uses: c.Uses, heardAt: s.clock.Now()}
+	s.gates[c.Peers] = gate{service: c.Service, slots: speed, cutoff: cutoff.Cutoff(c.Cutoff), uses: c.Uses, heardAt: s.clock.Now()}
 }
 
 // Forget drops a node that's gone.
@@ -81,23 +81,23 @@
 	delete(s.gates, peer)
 }
 
-// Share returns the part of the requests by this root and of this rank that
+// Share returns the part of the requests by this root and of this grade that
 // the services behind it can take.
-func (s *Screen) Share(root string, r rank.Rank) float64 {
+func (s *Screen) Share(root string, r grade.Grade) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.share(root, r)
 }
 
 // Admits draws whether to let a request in.
-func (s *Screen) Admits(root string, r rank.Rank) bool {
+func (s *Screen) Admits(root string, r grade.Grade) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	part := s.share(root, r)
 	return part >= 1 || s.random.Float64() < part
 }
 
-func (s *Screen) share(root string, r rank.Rank) float64 {
+func (s *Screen) share(root string, r grade.Grade) float64 {
 	k := key{card.Hash(root), r}
 	now := s.clock.Now()
 	if known, ok := s.shares[k]; ok && now-known.at < cacheMillis {
@@ -128,7 +128,7 @@
 		if _, used := g.uses[k.root]; used {
 			sum.used = true
 		}
-		sum.share += g.level.Share(k.rank) * g.slots
+		sum.share += g.cutoff.Share(k.grade) * g.slots
 		sum.slots += g.slots
 	}
 	least := 1.0
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"bergamotloom.example/rank"
+	"bergamotloom.example/grade"
 )
 
 // Header carries a trip from the entry to the gate.
@@ -21,8 +21,8 @@
 	// target it's that of the request for which the target makes the call, as
 	// far as that is known.
 	Root string
-	// Rank is that of the root's request.
-	Rank rank.Rank
+	// Grade is that of the root's request.
+	Grade grade.Grade
 	// Service is the service that shall run the request.
 	Service string
 	// Team is who it's charged to, empty on a route open to all.
@@ -57,7 +57,7 @@
 	}
 	return strings.Join([]string{
 		url.QueryEscape(t.Root),
-		strconv.Itoa(int(t.Rank)),
+		strconv.Itoa(int(t.Grade)),
 		url.QueryEscape(t.Service),
 		url.QueryEscape(t.Team),
 		url.QueryEscape(t.Origin),
@@ -81,15 +81,15 @@
 		}
 		names[i] = name
 	}
-	urgency, errRank := strconv.Atoi(f[1])
+	urgency, errGrade := strconv.Atoi(f[1])
 	left, errLeft := strconv.ParseFloat(f[5], 64)
 	goal, errGoal := strconv.ParseFloat(f[6], 64)
-	if errRank != nil || errLeft != nil || errGoal != nil || urgency < 0 || urgency >= rank.Count {
+	if errGrade != nil || errLeft != nil || errGoal != nil || urgency < 0 || urgency >= grade.Count {
 		return Trip{}, errors.Errorf("trip: %q isn't one", text)
 	}
 	return Trip{
 		Root:       names[0],
-		Rank:       rank.Rank(urgency),
+		Grade:      grade.Grade(urgency),
 		Service:    names[1],
 		Team:       names[2],
 		Origin:     names[3],
--- a/words/words.go
+++ b/words/words.go
@@ -19,6 +19,9 @@
 	Seal string
 	// NotRun is set by a target on a refusal of a request that it didn't run.
 	NotRun string
+	// CallMark stands between the identity of a request and what a target adds
+	// to it to name a call that it makes for the request.
+	CallMark string
 	// Load carries a target's running and waiting requests and its slots.
 	Load string
 }
