--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -39,6 +39,8 @@
 	silentBeats = 3
 	// unusedPart of the target's time is the least for which a root is listed.
 	unusedPart = 0.01
+	// forgetPart is the part below which a root is forgotten.
+	forgetPart = 0.001
 	// loadSmoothing and failSmoothing are the weights of new values in means.
 	loadSmoothing = 0.3
 	failSmoothing = 0.05
@@ -77,10 +79,9 @@
 	at      float64
 	arrived [grade.Count]float64
 	roots   map[string]float64
-	// offered, parts and uses are means over some ticks.
-	offered float64
-	parts   [grade.Count]float64
-	uses    map[string]float64
+	// uses is the part of the work that each root makes, a mean over some
+	// ticks.
+	uses map[string]float64
 }
 
 // New returns the gate of the target at the pool's address, which runs this
@@ -242,9 +243,9 @@
 	chosen := g.limit.Choose(waiting > 0, now)
 	run := g.limit.RunMillis()
 	g.queue.SetLimit(chosen, run)
-	g.work.tick(g.clock.Fine(), float64(chosen))
+	arrived := g.work.tick(g.clock.Fine(), float64(chosen))
 	line := float64(waiting) * run / float64(chosen)
-	g.cutoff = g.pacer.Step(g.work.offered, line, g.work.parts)
+	g.cutoff = g.pacer.Step(arrived, line)
 	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
 		g.known = false
 		g.queue.Shut()
@@ -252,31 +253,38 @@
 	}
 }
 
-// tick turns what arrived since the last one into parts of what limit requests
-// at a time can get done.
-func (w *work) tick(now, limit float64) {
+// tick returns what arrived since the last one of each grade, in parts of what
+// limit requests at a time can get done.
+func (w *work) tick(now, limit float64) [grade.Count]float64 {
 	passed := max(now-w.at, 1)
+	parts := w.arrived
 	sum := 0.0
-	for _, a := range w.arrived {
+	for i, a := range w.arrived {
 		sum += a
+		parts[i] = a / (passed * limit)
 	}
-	w.offered += (sum/(passed*limit) - w.offered) * loadSmoothing
 	if sum > 0 {
-		for i, a := range w.arrived {
-			w.parts[i] += (a/sum - w.parts[i]) * loadSmoothing
-		}
-		for root := range w.roots {
-			if _, ok := w.uses[root]; !ok {
-				w.uses[root] = 0
-			}
-		}
-		for root, part := range w.uses {
-			w.uses[root] += (w.roots[root]/sum - part) * loadSmoothing
-		}
+		w.learn(sum)
 	}
 	clear(w.roots)
 	w.arrived = [grade.Count]float64{}
 	w.at = now
+	return parts
+}
+
+// learn updates the roots' parts of the work.
+func (w *work) learn(sum float64) {
+	for root := range w.roots {
+		if _, ok := w.uses[root]; !ok {
+			w.uses[root] = 0
+		}
+	}
+	for root, part := range w.uses {
+		w.uses[root] += (w.roots[root]/sum - part) * loadSmoothing
+		if w.uses[root] < forgetPart {
+			delete(w.uses, root)
+		}
+	}
 }
 
 // Describe adds the gate's state to the node's card.
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,9 +1,9 @@
 // Package pacer sets the admission threshold of a target's gate: how much of
 // the callers' requests that need this target the entries should let in.
 //
-// It compares what arrives with what the target can do, so that it reacts
-// before the line at the gate has grown long, and the line itself, so that an
-// estimate that is off doesn't add up.
+// From what arrives and from the threshold that was in force when it was let
+// in, it works out what would arrive without a threshold, and lets in as much
+// of that as the target can do, most important grades first.
 package pacer
 
 import (
@@ -13,78 +13,103 @@
 
 const (
 	// fullPart of what the target can do is let in.
-	fullPart = 0.95
-	// waitMillis is the time in the line at which the threshold stays. A chain
-	// of ten calls then waits ten times as long, within an objective of 1.5 s.
-	waitMillis = 25
+	fullPart = 0.96
+	// waitMillis is the time in the line that needs no correction. A chain of
+	// ten calls then waits ten times as long, within an objective of 1.5 s.
+	waitMillis = 20
 	// drainMillis is the time in which a longer line shall get back there.
-	drainMillis = 600
-	// gain is the part of the error that one step corrects: a change of the
-	// threshold shows only some steps later, when the calls arrive.
-	gain = 0.18
-	// mostDown and mostUp bound one step, as a part of the threshold's share.
-	mostDown = 0.3
-	mostUp   = 0.15
-	// leastUp lets a closed threshold open again.
-	leastUp = 0.01
-	// leastPart is the least part of the arrivals that the step counts with.
-	leastPart = 0.1
-	// closedShare is the share at which the next grade is held back too.
-	closedShare = 0.02
+	drainMillis = 700
+	// leastPart of what the target can do is let in however long the line is.
+	leastPart = 0.4
+	// lagSteps is how long ago that was let in which arrives now, in steps: a
+	// request makes its calls some hundred milliseconds after its entry.
+	lagSteps = 4
+	// smoothing is the weight of a new step in the estimated demand.
+	smoothing = 0.35
+	// leastShare bounds by how much an arrival is scaled up.
+	leastShare = 0.1
+	// leastDemand of a grade is what counts, in parts of what the target can do.
+	leastDemand = 0.005
+	// mostChange bounds one step of the threshold of a grade.
+	mostChange = 0.25
 )
 
 // Pacer holds the threshold of one gate. It isn't safe for concurrent use.
 type Pacer struct {
-	// at is the grade that is admitted in part, share the part.
-	at    grade.Grade
-	share float64
+	cutoff cutoff.Cutoff
+	// past holds the thresholds of the last steps, the newest one first.
+	past [lagSteps]cutoff.Cutoff
+	// demand is the work that would arrive of each grade without a threshold,
+	// in parts of what the target can do.
+	demand [grade.Count]float64
 }
 
 // New returns a pacer that lets everything in.
 func New() *Pacer {
-	return &Pacer{at: grade.Count - 1, share: 1}
+	p := &Pacer{cutoff: cutoff.Full}
+	for i := range p.past {
+		p.past[i] = cutoff.Full
+	}
+	return p
 }
 
-// Step moves the threshold. Offered is the work that arrives in a time, in
-// parts of what the target could do in it; waiting is how long the line takes,
-// in milliseconds; parts is how much of the arriving work each grade makes.
-func (p *Pacer) Step(offered, waiting float64, parts [grade.Count]float64) cutoff.Cutoff {
-	off := offered - fullPart
-	if waiting > waitMillis {
-		off += (waiting - waitMillis) / drainMillis
+// Step moves the threshold. Arrived is the work that arrived of each grade, in
+// parts of what the target could do in the time; waiting is how long the line
+// takes, in milliseconds.
+func (p *Pacer) Step(arrived [grade.Count]float64, waiting float64) cutoff.Cutoff {
+	for g, work := range arrived {
+		raw := work / max(p.applied(grade.Grade(g)), leastShare)
+		p.demand[g] += (raw - p.demand[g]) * smoothing
 	}
-	change := -gain * off / max(parts[p.at], leastPart)
-	change = min(max(change, -mostDown), mostUp)
-	if change > 0 {
-		p.raise(change)
-	} else {
-		p.lower(-change)
+	room := fullPart
+	if waiting > waitMillis {
+		room = max(room-(waiting-waitMillis)/drainMillis, leastPart)
 	}
-	return p.Cutoff()
+	p.cutoff = p.approach(p.fit(room))
+	copy(p.past[1:], p.past[:])
+	p.past[0] = p.cutoff
+	return p.cutoff
 }
 
-func (p *Pacer) raise(change float64) {
-	p.share = min(p.share*(1+change)+leastUp, 1)
-	if p.share == 1 && p.at < grade.Count-1 {
-		p.at++
-		p.share = closedShare
+// approach moves the threshold towards the wanted one. Above the last grade
+// that there's demand of, it makes no difference where it is.
+func (p *Pacer) approach(wanted cutoff.Cutoff) cutoff.Cutoff {
+	top := cutoff.Cutoff(0)
+	for g, work := range p.demand {
+		if work > leastDemand {
+			top = cutoff.New(grade.Grade(g), 1)
+		}
 	}
+	now := min(p.cutoff, top)
+	next := min(max(wanted, now-mostChange), now+mostChange)
+	if wanted >= top && next >= top {
+		return cutoff.Full
+	}
+	return next
 }
 
-func (p *Pacer) lower(change float64) {
-	p.share *= 1 - change
-	if p.share >= closedShare {
-		return
+// applied returns the share of a grade that was let in when what arrives now
+// came to the entries.
+func (p *Pacer) applied(g grade.Grade) float64 {
+	sum := 0.0
+	for _, c := range p.past {
+		sum += c.Share(g)
 	}
-	if p.at > 0 {
-		p.at--
-		p.share = 1
-		return
+	return sum / lagSteps
+}
+
+// fit returns the threshold that lets in as much as there is room for.
+func (p *Pacer) fit(room float64) cutoff.Cutoff {
+	for g, work := range p.demand {
+		if work > room {
+			return cutoff.New(grade.Grade(g), room/work)
+		}
+		room -= work
 	}
-	p.share = closedShare
+	return cutoff.Full
 }
 
 // Cutoff returns the threshold.
 func (p *Pacer) Cutoff() cutoff.Cutoff {
-	return cutoff.New(p.at, p.share)
+	return p.cutoff
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -7,6 +7,7 @@
 package picker
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 
@@ -29,6 +30,10 @@
 	farMillis = 3
 	// failWeight is how much worse an instance looks whose runs fail.
 	failWeight = 4
+	// failPower is how steeply the part of the runs that fail, up to
+	// mostFailing, lowers how often an instance is drawn.
+	failPower   = 3
+	mostFailing = 0.9
 	// startRunMillis is taken for a run as long as nothing is known.
 	startRunMillis = 20
 	// draws of two random instances are made for one choice.
@@ -158,6 +163,7 @@
 		return
 	}
 	n.open--
+	n.sent = max(n.sent-1, 0)
 	if !reached {
 		n.avoidTill = p.clock.Now() + avoidMillis
 	}
@@ -180,7 +186,7 @@
 
 func (p *Picker) weight(n *instance) float64 {
 	slots := float64(max(n.card.Limit, 1))
-	w := slots / n.runMillis() * (1 - min(float64(n.card.Failing), 0.9))
+	w := slots / n.runMillis() * math.Pow(1-min(float64(n.card.Failing), mostFailing), failPower)
 	if n.card.Centre == p.centre && float64(n.load()) < roomyPart*slots {
 		w *= nearFactor
 	}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,106 @@
+package queue_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/queue"
+	"bergamotloom.example/reason"
+)
+
+func open(t *testing.T, limit int, runMillis float64) (*queue.Queue, func(millis float64)) {
+	t.Helper()
+	c, advance := clock.NewManual(0)
+	q := queue.New(c)
+	q.SetLimit(limit, runMillis)
+	q.Open()
+	return q, advance
+}
+
+// enter starts a request and waits until it has begun or waits in line.
+func enter(t *testing.T, ctx context.Context, q *queue.Queue, order, due float64) <-chan reason.Reason {
+	t.Helper()
+	out := make(chan reason.Reason, 1)
+	running, waiting := q.Load()
+	go func() { out <- q.Enter(ctx, order, due) }()
+	deadline := time.Now().Add(5 * time.Second)
+	for time.Now().Before(deadline) {
+		r, w := q.Load()
+		if r+w > running+waiting || len(out) > 0 {
+			return out
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the request neither began nor waits")
+	return nil
+}
+
+func TestShutQueueRefuses(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	assert.Equal(t, queue.New(c).Enter(t.Context(), 0, 100), reason.Leaving)
+}
+
+func TestRequestsBeginInTheOrderInWhichTheyAreDue(t *testing.T) {
+	q, _ := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	late := enter(t, t.Context(), q, 300, 1000)
+	soon := enter(t, t.Context(), q, 100, 1000)
+	q.Leave()
+	assert.Equal(t, <-soon, reason.Reason(""))
+	assert.Equal(t, len(late), 0)
+	q.Leave()
+	assert.Equal(t, <-late, reason.Reason(""))
+	running, waiting := q.Load()
+	assert.Equal(t, running, 1)
+	assert.Equal(t, waiting, 0)
+}
+
+func TestRequestThatCouldNotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	q, _ := open(t, 1, 50)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	assert.Equal(t, q.Enter(t.Context(), 1, 30), reason.Overloaded)
+}
+
+func TestWaitingRequestThatBecameTooLateIsRefusedAndTheNextBegins(t *testing.T) {
+	q, advance := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	stale := enter(t, t.Context(), q, 1, 40)
+	fresh := enter(t, t.Context(), q, 2, 1000)
+	advance(60)
+	q.Leave()
+	assert.Equal(t, <-stale, reason.Overloaded)
+	assert.Equal(t, <-fresh, reason.Reason(""))
+}
+
+func TestCallerThatLeavesGivesUpItsPlace(t *testing.T) {
+	q, _ := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	ctx, leave := context.WithCancel(t.Context())
+	gone := enter(t, ctx, q, 1, 1000)
+	leave()
+	assert.Equal(t, <-gone, reason.Cancelled)
+	_, waiting := q.Load()
+	assert.Equal(t, waiting, 0)
+}
+
+func TestShutRefusesThoseThatWaitAndKeepsThoseThatRun(t *testing.T) {
+	q, _ := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	waits := enter(t, t.Context(), q, 1, 1000)
+	q.Shut()
+	assert.Equal(t, <-waits, reason.Leaving)
+	running, _ := q.Load()
+	assert.Equal(t, running, 1)
+}
+
+func TestHigherLimitLetsMoreBegin(t *testing.T) {
+	q, _ := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	waits := enter(t, t.Context(), q, 1, 1000)
+	q.SetLimit(2, 10)
+	assert.Equal(t, <-waits, reason.Reason(""))
+}
--- /dev/null
+++ b/split/split_test.go
@@ -0,0 +1,54 @@
+package split_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bergamotloom.example/part"
+	"bergamotloom.example/route"
+	"bergamotloom.example/split"
+)
+
+func TestRouteWithoutPartsGoesToItsService(t *testing.T) {
+	assert.Equal(t, split.New(1).Next(route.Route{Name: "r", Service: "stock"}), "stock")
+}
+
+func TestSharesAreExactOverFewRequests(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 5).Draw(r, "weights")
+		one := route.Route{Name: "r"}
+		sum := 0
+		for i, w := range weights {
+			sum += w
+			one.Parts = append(one.Parts, part.Part{Service: string(rune('a' + i)), Weight: float64(w)})
+		}
+		if sum == 0 {
+			return
+		}
+		s := split.New(rapid.Uint64().Draw(r, "seed"))
+		count := make(map[string]int)
+		const requests = 200
+		for range requests {
+			count[s.Next(one)]++
+		}
+		for _, p := range one.Parts {
+			want := float64(requests) * p.Weight / float64(sum)
+			if math.Abs(float64(count[p.Service])-want) > 3 {
+				r.Fatalf("%s got %d of %v", p.Service, count[p.Service], want)
+			}
+		}
+	})
+}
+
+func TestNewWeightsCountAtOnce(t *testing.T) {
+	s := split.New(1)
+	one := route.Route{Name: "r", Parts: []part.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 0}}}
+	for range 50 {
+		assert.Equal(t, s.Next(one), "a")
+	}
+	one.Parts = []part.Part{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}
+	assert.Equal(t, s.Next(one), "b")
+}
