Read the settings again at SIGHUP or when the file changes; see a caller's close behind its request

A node that was held up reads the request and the close behind it at once and sent the request on before net/http noticed the close. Ruled out: the deadline at the entry, which closed the hop in time.

--- a/hops/handle.go
+++ b/hops/handle.go
@@ -8,6 +8,7 @@
 
 	"bergamotloom.example/heads"
 	"bergamotloom.example/output"
+	"bergamotloom.example/peeked"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/runst"
 	"bergamotloom.example/trip"
@@ -50,6 +51,9 @@
 	if err != nil {
 		return output.Refused(reason.BadRequest, err.Error())
 	}
+	if peeked.Gone(r) {
+		return output.Refused(reason.Cancelled, "the sender has gone")
+	}
 	heads.DropConnection(r.Header)
 	return g.Do(r.Context(), r, r.Header, body, more, length, t)
 }
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -22,6 +22,7 @@
 	"bergamotloom.example/keys"
 	"bergamotloom.example/output"
 	"bergamotloom.example/parent"
+	"bergamotloom.example/peeked"
 	"bergamotloom.example/picker"
 	"bergamotloom.example/ratio"
 	"bergamotloom.example/ration"
@@ -136,6 +137,9 @@
 	if q.body, q.more, q.length, err = hops.ReadBody(q.Request); err != nil {
 		return output.Refused(reason.BadRequest, "the body broke off")
 	}
+	if peeked.Gone(q.Request) {
+		return output.Refused(reason.Cancelled, "the caller has gone")
+	}
 	e.clean(q.Header)
 	q.trip.Service = e.split.Next(q.route)
 	return e.send(q)
--- /dev/null
+++ b/peeked/peeked_test.go
@@ -0,0 +1,51 @@
+package peeked_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/peeked"
+)
+
+// A process that was held up finds the request and the close behind it at once.
+func TestCloseBehindARequestIsSeen(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		seen := make(chan bool, 1)
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			seen <- peeked.Gone(r)
+		}))
+		s.Config.ConnContext = peeked.Context
+		held := &heldListener{Listener: s.Listener, release: make(chan struct{})}
+		s.Listener = held
+		s.Start()
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		if closes {
+			assert.NilError(t, c.Close())
+		}
+		time.Sleep(20 * time.Millisecond)
+		close(held.release)
+		assert.Equal(t, <-seen, closes)
+		_ = c.Close()
+		s.Close()
+	}
+}
+
+// heldListener accepts nothing before it's released.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/hops"
+	"bergamotloom.example/peeked"
 )
 
 const (
@@ -22,7 +23,7 @@
 	// misses.
 	lameDuck = 3 * time.Second
 	// stopReserve of the grace is kept for the last steps.
-	stopReserve = 700 * time.Millisecond
+	stopReserve = 1200 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
 )
 
@@ -51,6 +52,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
+			ConnContext:       peeked.Context,
 		}
 		servers = append(servers, s)
 		go func() { n.failed(p.name, s.Serve(l)) }()
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -165,6 +165,12 @@
 	return nil
 }
 
+// Reload takes settings that changed while the node runs. Bounds count at the
+// next start, as do addresses to listen on.
+func (n *Sidecar) Reload(s siting.Siting) {
+	n.log.Info("node: settings taken", "Changes", n.siting.Changes(s))
+}
+
 func (n *Sidecar) duty(ctx context.Context, work func(context.Context)) {
 	n.group.Go(func() { work(ctx) })
 }
--- a/siting/siting.go
+++ b/siting/siting.go
@@ -3,7 +3,9 @@
 package siting
 
 import (
+	"fmt"
 	"net/netip"
+	"reflect"
 
 	"github.com/pkg/errors"
 )
@@ -86,3 +88,16 @@
 	}
 	return nil
 }
+
+// Changes names the settings that differ from another's, with both values.
+func (s Siting) Changes(other Siting) []string {
+	var all []string
+	before, after := reflect.ValueOf(s), reflect.ValueOf(other)
+	for i := range before.NumField() {
+		was, is := before.Field(i).Interface(), after.Field(i).Interface()
+		if !reflect.DeepEqual(was, is) {
+			all = append(all, fmt.Sprintf("%s: %v, was %v", before.Type().Field(i).Name, is, was))
+		}
+	}
+	return all
+}
--- a/verbs/sidecar.go
+++ b/verbs/sidecar.go
@@ -58,7 +58,7 @@
 		defer close(written)
 		out.Run(logged)
 	}()
-	err = platform.Serve(s.context, settings, clock.New(), log)
+	err = platform.Serve(s.context, r.Settings, settings, clock.New(), log)
 	end()
 	<-written
 	return err
