--- a/cutoff/cutoff.go
+++ b/cutoff/cutoff.go
@@ -16,7 +16,10 @@
 	return Cutoff(float64(g) + share)
 }
 
+// leastShare of each grade is let in, so that no kind of request starves.
+const leastShare = 0.15
+
 // Share returns the part of a grade's requests that is let in.
 func (c Cutoff) Share(g grade.Grade) float64 {
-	return min(max(float64(c)-float64(g), 0), 1)
+	return min(max(float64(c)-float64(g), leastShare), 1)
 }
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -41,6 +41,8 @@
 	unusedPart = 0.01
 	// forgetPart is the part below which a root is forgotten.
 	forgetPart = 0.001
+	// tellMillis passes between two lines of the gate's state.
+	tellMillis = 1000
 	// loadSmoothing and failSmoothing are the weights of new values in means.
 	loadSmoothing = 0.3
 	failSmoothing = 0.05
@@ -72,6 +74,7 @@
 	cutoff   cutoff.Cutoff
 	failing  float64
 	work     work
+	toldAt   int64
 }
 
 // work is what arrived since the last tick.
@@ -246,6 +249,11 @@
 	arrived := g.work.tick(g.clock.Fine(), float64(chosen))
 	line := float64(waiting) * run / float64(chosen)
 	g.cutoff = g.pacer.Step(arrived, line)
+	if now-g.toldAt >= tellMillis && (running > 0 || g.cutoff < cutoff.Full) {
+		g.toldAt = now
+		g.log.Info("gate: state", "Target", g.target.Target, "Limit", chosen, "Running", running, "Waiting", waiting,
+			"RunMillis", run, "LineMillis", line, "Arrived", arrived, "Cutoff", float64(g.cutoff), "Failing", g.failing)
+	}
 	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
 		g.known = false
 		g.queue.Shut()
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -46,6 +46,9 @@
 	// leastMillis is the least time with which a request is offered once more.
 	leastMillis = 10
 	bearer      = "Bearer "
+	// defaultLeftMillis is taken for the time left of a request of which it
+	// isn't known.
+	defaultLeftMillis = 600
 )
 
 // gate is the node's own gate.
@@ -187,6 +190,9 @@
 	q.trip.Call = true
 	if p, ok := e.book.Find(q.id); ok {
 		q.trip.Root, q.trip.Grade, q.trip.Repeat = p.Root, p.Grade, p.Repeat
+		// A chain that began earlier goes first at each step, so that it waits
+		// once and not at each of its calls.
+		q.trip.GoalMillis = p.GoalMillis
 	}
 }
 
@@ -246,5 +252,11 @@
 		return
 	}
 	heads.Set(w.Header(), e.words.RequestID, q.id)
-	refuse(w, o, q.due-e.clock.Fine(), rand.Float64())
+	now := e.clock.Fine()
+	left := q.due - now
+	if q.due == 0 {
+		// It was refused before its time was worked out.
+		left = defaultLeftMillis
+	}
+	refuse(w, o, left, q.trip.GoalMillis-(now-q.began), rand.Float64())
 }
--- a/outbnd/refuse.go
+++ b/outbnd/refuse.go
@@ -5,24 +5,15 @@
 	"strconv"
 
 	"bergamotloom.example/output"
-	"bergamotloom.example/reason"
+	"bergamotloom.example/recall"
 	"bergamotloom.example/runst"
 )
 
-const (
-	// waitPart of the time left is the most that a caller waits before it asks
-	// again.
-	waitPart = 0.33
-	// leastWaitMillis passes before a refused caller is asked back.
-	leastWaitMillis = 50
-	millisPerSecond = 1000
-)
+const millisPerSecond = 1000
 
-// refuse answers a request that has no answer of a target. Of a request that
-// never ran, that's said; the caller may come back at a random moment of the
-// time that it waits at most, so that those who were refused together don't
-// come back together.
-func refuse(w http.ResponseWriter, o output.Output, leftMillis, random float64) {
+// refuse answers a request that has no answer of a target. Of one that never
+// ran that's said, with the time after which the caller may come back.
+func refuse(w http.ResponseWriter, o output.Output, leftMillis, goalMillis, random float64) {
 	status := o.Reason.Status()
 	if o.Ran == runst.Never && status >= http.StatusInternalServerError {
 		status = http.StatusServiceUnavailable
@@ -33,10 +24,7 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		wait := float64(o.RetryAfterMillis)
 		if wait <= 0 {
-			wait = leastWaitMillis + random*max(leftMillis*waitPart-leastWaitMillis, 0)
-		}
-		if o.Reason == reason.Leaving || o.Reason == reason.NoInstance {
-			wait = min(wait, leastWaitMillis*4)
+			wait = recall.Millis(o.Reason, leftMillis, goalMillis, random)
 		}
 		h.Set("Retry-After", strconv.FormatFloat(wait/millisPerSecond, 'f', 3, 64))
 	}
--- a/output/output.go
+++ b/output/output.go
@@ -71,6 +71,12 @@
 	for name, values := range o.Header {
 		h[name] = values
 	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		// The server adds none of its own: the answer is the target's.
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
 	if o.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(o.Length, 10))
 	}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -16,9 +16,9 @@
 	fullPart = 0.96
 	// waitMillis is the time in the line that needs no correction. A chain of
 	// ten calls then waits ten times as long, within an objective of 1.5 s.
-	waitMillis = 20
+	waitMillis = 15
 	// drainMillis is the time in which a longer line shall get back there.
-	drainMillis = 700
+	drainMillis = 500
 	// leastPart of what the target can do is let in however long the line is.
 	leastPart = 0.4
 	// lagSteps is how long ago that was let in which arrives now, in steps: a
@@ -26,8 +26,6 @@
 	lagSteps = 4
 	// smoothing is the weight of a new step in the estimated demand.
 	smoothing = 0.35
-	// leastShare bounds by how much an arrival is scaled up.
-	leastShare = 0.1
 	// leastDemand of a grade is what counts, in parts of what the target can do.
 	leastDemand = 0.005
 	// mostChange bounds one step of the threshold of a grade.
@@ -58,7 +56,7 @@
 // takes, in milliseconds.
 func (p *Pacer) Step(arrived [grade.Count]float64, waiting float64) cutoff.Cutoff {
 	for g, work := range arrived {
-		raw := work / max(p.applied(grade.Grade(g)), leastShare)
+		raw := work / p.applied(grade.Grade(g))
 		p.demand[g] += (raw - p.demand[g]) * smoothing
 	}
 	room := fullPart
--- a/parent/parent.go
+++ b/parent/parent.go
@@ -9,28 +9,35 @@
 	"strings"
 	"sync"
 
+	"bergamotloom.example/clock"
 	"bergamotloom.example/trip"
 )
 
 // Book lists the requests that the target beside this node is running. It's
 // safe for many goroutines.
 type Book struct {
+	clock     clock.Clock
 	separator string
 	mutex     sync.Mutex
-	runs      map[string]trip.Trip
+	runs      map[string]run
+}
+
+type run struct {
+	trip  trip.Trip
+	began float64
 }
 
 // New returns an empty book. Separator stands between the two parts of a call's
 // identity.
-func New(separator string) *Book {
-	return &Book{separator: separator, runs: make(map[string]trip.Trip)}
+func New(c clock.Clock, separator string) *Book {
+	return &Book{clock: c, separator: separator, runs: make(map[string]run)}
 }
 
 // Begin notes that the target runs the request with this identity.
 func (b *Book) Begin(id string, t trip.Trip) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.runs[id] = t
+	b.runs[id] = run{trip: t, began: b.clock.Fine()}
 }
 
 // End notes the end of the run.
@@ -40,7 +47,8 @@
 	delete(b.runs, id)
 }
 
-// Find returns the running request for which a call is made.
+// Find returns the running request for which a call is made, with the times
+// that it has left now.
 func (b *Book) Find(call string) (trip.Trip, bool) {
 	at := strings.LastIndex(call, b.separator)
 	if at <= 0 {
@@ -48,8 +56,8 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	t, ok := b.runs[call[:at]]
-	return t, ok
+	r, ok := b.runs[call[:at]]
+	return r.trip.WithLeft(b.clock.Fine() - r.began), ok
 }
 
 // Len returns how many requests run.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -23,8 +23,8 @@
 	avoidMillis = 600
 	// nearFactor is how much more often an instance of the own data centre is
 	// drawn while less than roomyPart of its slots are taken.
-	nearFactor = 4
-	roomyPart  = 0.6
+	nearFactor = 12
+	roomyPart  = 0.75
 	// farMillis is what a request to another data centre takes longer; it
 	// stands for the bytes that cross the border too.
 	farMillis = 3
--- a/screen/screen.go
+++ b/screen/screen.go
@@ -19,8 +19,6 @@
 const (
 	// staleMillis is how old a threshold may be that counts.
 	staleMillis = 1000
-	// leastShare of each grade is let in, so that no kind of request starves.
-	leastShare = 0.25
 	// cacheMillis is for how long a share is used before it's worked out again.
 	cacheMillis = 50
 )
@@ -103,7 +101,7 @@
 	if known, ok := s.shares[k]; ok && now-known.at < cacheMillis {
 		return known.part
 	}
-	part := max(s.compute(k, now), leastShare)
+	part := s.compute(k, now)
 	s.shares[k] = share{part, now}
 	return part
 }
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -71,7 +71,7 @@
 	n := &Sidecar{siting: s, clock: c, log: log, store: store}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
-	book := parent.New(w.CallMark)
+	book := parent.New(c, w.CallMark)
 	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, log)
 	n.ration = ration.New(c, s.FirstStart, seed)
 	n.picker = picker.New(c, s.Centre, seed)
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -31,7 +31,8 @@
 	Origin string
 	// LeftMillis is the time left for the answer.
 	LeftMillis float64
-	// GoalMillis is the time left in which the answer is worth most.
+	// GoalMillis is the time left in which the root's answer is worth most; it's
+	// below zero once that has passed.
 	GoalMillis float64
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
