--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -20,7 +20,7 @@
 // that comes in; the connection is closed after the last one.
 func serve(t *testing.T, script ...string) (address string, opened func() int) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	count := make(chan int, 100)
@@ -67,6 +67,7 @@
 		return "", sent, err
 	}
 	body, err := io.ReadAll(a.Body)
+	assert.NilError(t, a.Body.Close())
 	done(err == nil)
 	return string(body), sent, err
 }
@@ -151,7 +152,7 @@
 }
 
 func TestItTellsWhetherARequestWasSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	nobody := l.Addr().String()
 	assert.NilError(t, l.Close())
@@ -167,7 +168,7 @@
 }
 
 func TestCancelledRequestEndsItsConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	ended := make(chan error, 1)
@@ -185,8 +186,8 @@
 		ended <- err
 	}()
 	c := clock.New()
-	_, _, sent, err := conns.New(l.Addr().String(), c, 1000).Do(ctx, http.MethodGet, head("a"), nil,
-		func(*http.Response) bool { return true }, c.Fine()+5000)
+	taken := func(*http.Response) bool { return true }
+	_, _, sent, err := conns.New(l.Addr().String(), c, 1000).Do(ctx, http.MethodGet, head("a"), nil, taken, c.Fine()+5000) //nolint:bodyclose // There's no answer.
 	assert.Assert(t, err != nil && sent)
 	assert.Equal(t, <-ended, io.EOF)
 }
@@ -198,13 +199,16 @@
 	stuck := make(chan struct{})
 	defer close(stuck)
 	request := []byte("POST / HTTP/1.1\r\nHost: x\r\nId: a\r\nContent-Length: 5\r\n\r\n")
-	a, done, _, err := p.Do(t.Context(), http.MethodPost, request, func(io.Writer) error {
+	hang := func(io.Writer) error {
 		<-stuck
 		return nil
-	}, func(*http.Response) bool { return true }, c.Fine()+1000)
+	}
+	taken := func(*http.Response) bool { return true }
+	a, done, _, err := p.Do(t.Context(), http.MethodPost, request, hang, taken, c.Fine()+1000)
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, a.Body)
 	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
 	done(true)
 	_, _, err = ask(t, p, c, "a")
 	assert.NilError(t, err)
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // connectionHeaders concern one connection only and aren't passed on.
@@ -99,7 +101,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			_, err = io.WriteString(w, "0\r\n\r\n")
 			return err
 		case err != nil:
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -63,7 +63,7 @@
 	due := p.clock.Fine() + t.LeftMillis
 	h.Set(trip.Header, t.Encode())
 	request := append(heads.Append(nil, r, h, length), body...)
-	answer, done, sent, err := p.pool(address).Do(ctx, r.Method, request, more, func(*http.Response) bool { return true }, due+graceMillis)
+	answer, done, sent, err := p.pool(address).Do(ctx, r.Method, request, more, func(*http.Response) bool { return true }, due+graceMillis) //nolint:bodyclose // readHop closes it.
 	switch {
 	case err == nil:
 	case !sent && p.clock.Fine() >= due:
@@ -95,6 +95,7 @@
 		return o
 	}
 	detail, err := io.ReadAll(io.LimitReader(answer.Body, refusalBytes))
+	_ = answer.Body.Close()
 	done(err == nil)
 	if ran == runst.Never && why != "" {
 		return output.Refused(why, string(detail))
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -141,9 +141,8 @@
 	id := h.Get(g.words.RequestID)
 	g.book.Begin(id, t)
 	defer g.book.End(id)
-	answer, done, sent, err := g.pool.Do(ctx, r.Method, request, more, func(a *http.Response) bool {
-		return g.ours(a, id)
-	}, due)
+	ours := func(a *http.Response) bool { return g.ours(a, id) }
+	answer, done, sent, err := g.pool.Do(ctx, r.Method, request, more, ours, due) //nolint:bodyclose // read closes it.
 	if err != nil {
 		return g.broken(ctx, target, due, sent, err)
 	}
--- a/output/output.go
+++ b/output/output.go
@@ -23,18 +23,25 @@
 	o := Output{Ran: runst.Once, Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength}
 	body, err := readStart(answer)
 	if err != nil {
+		_ = answer.Body.Close()
 		done(false)
 		return Output{}, errors.Wrap(err, "the answer was cut")
 	}
 	o.Body = body
 	if len(body) < bufferBytes {
+		_ = answer.Body.Close()
 		done(true)
 		o.Length = int64(len(body))
 		return o, nil
 	}
 	rest := &wholeReader{from: answer.Body}
 	o.Rest = rest
-	o.Close = func() { done(rest.whole) }
+	o.Close = func() {
+		if rest.whole {
+			_ = answer.Body.Close()
+		}
+		done(rest.whole)
+	}
 	return o, nil
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -19,6 +19,10 @@
 	waitMillis = 15
 	// drainMillis is the time in which a longer line shall get back there.
 	drainMillis = 500
+	// trimStep is by how much a line longer by drainMillis adds to the trim in a
+	// step, mostTrim what the trim is at most.
+	trimStep = 0.1
+	mostTrim = 0.3
 	// leastPart of what the target can do is let in however long the line is.
 	leastPart = 0.4
 	// lagSteps is how long ago that was let in which arrives now, in steps: a
@@ -40,6 +44,8 @@
 	// demand is the work that would arrive of each grade without a threshold,
 	// in parts of what the target can do.
 	demand [grade.Count]float64
+	// trim is held back for a line that doesn't get shorter otherwise.
+	trim float64
 }
 
 // New returns a pacer that lets everything in.
@@ -59,7 +65,8 @@
 		raw := work / p.applied(grade.Grade(g))
 		p.demand[g] += (raw - p.demand[g]) * smoothing
 	}
-	room := fullPart
+	p.trim = min(max(p.trim+trimStep*min(max((waiting-waitMillis)/drainMillis, -1), 1), 0), mostTrim)
+	room := fullPart - p.trim
 	if waiting > waitMillis {
 		room = max(room-(waiting-waitMillis)/drainMillis, leastPart)
 	}
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -75,3 +75,20 @@
 	assert.Equal(t, p.Cutoff().Share(5), 0.15)
 	assert.Assert(t, p.Cutoff().Share(3) > 0.4 && p.Cutoff().Share(3) < 0.8, "share %v", p.Cutoff().Share(3))
 }
+
+// What arrives may be more than the threshold accounts for, as with requests
+// that were let in a while ago.
+func TestLineGetsShorterAlsoIfTheEstimateIsOff(t *testing.T) {
+	p := pacer.New()
+	line := 0.0
+	var cut float64
+	for range 300 {
+		share := p.Cutoff().Share(5)
+		// A part of the work comes whatever the threshold is.
+		var arrived [grade.Count]float64
+		arrived[3], arrived[5] = 0.5, 0.25+0.6*share
+		line = max(line+(arrived[3]+arrived[5]-1)*100, 0)
+		cut = float64(p.Step(arrived, line))
+	}
+	assert.Assert(t, line < 60, "line %v ms at %v", line, cut)
+}
--- a/peeked/peeked_test.go
+++ b/peeked/peeked_test.go
@@ -24,7 +24,7 @@
 		held := &heldListener{Listener: s.Listener, release: make(chan struct{})}
 		s.Listener = held
 		s.Start()
-		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		c, err := new(net.Dialer).DialContext(t.Context(), "tcp", s.Listener.Addr().String())
 		assert.NilError(t, err)
 		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		assert.NilError(t, err)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -22,7 +22,7 @@
 }
 
 // enter starts a request and waits until it has begun or waits in line.
-func enter(t *testing.T, ctx context.Context, q *queue.Queue, order, due float64) <-chan reason.Reason {
+func enter(ctx context.Context, t *testing.T, q *queue.Queue, order, due float64) <-chan reason.Reason {
 	t.Helper()
 	out := make(chan reason.Reason, 1)
 	running, waiting := q.Load()
@@ -47,8 +47,8 @@
 func TestRequestsBeginInTheOrderInWhichTheyAreDue(t *testing.T) {
 	q, _ := open(t, 1, 10)
 	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
-	late := enter(t, t.Context(), q, 300, 1000)
-	soon := enter(t, t.Context(), q, 100, 1000)
+	late := enter(t.Context(), t, q, 300, 1000)
+	soon := enter(t.Context(), t, q, 100, 1000)
 	q.Leave()
 	assert.Equal(t, <-soon, reason.Reason(""))
 	assert.Equal(t, len(late), 0)
@@ -68,8 +68,8 @@
 func TestWaitingRequestThatBecameTooLateIsRefusedAndTheNextBegins(t *testing.T) {
 	q, advance := open(t, 1, 10)
 	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
-	stale := enter(t, t.Context(), q, 1, 40)
-	fresh := enter(t, t.Context(), q, 2, 1000)
+	stale := enter(t.Context(), t, q, 1, 40)
+	fresh := enter(t.Context(), t, q, 2, 1000)
 	advance(60)
 	q.Leave()
 	assert.Equal(t, <-stale, reason.Overloaded)
@@ -80,7 +80,7 @@
 	q, _ := open(t, 1, 10)
 	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
 	ctx, leave := context.WithCancel(t.Context())
-	gone := enter(t, ctx, q, 1, 1000)
+	gone := enter(ctx, t, q, 1, 1000)
 	leave()
 	assert.Equal(t, <-gone, reason.Cancelled)
 	_, waiting := q.Load()
@@ -90,7 +90,7 @@
 func TestShutRefusesThoseThatWaitAndKeepsThoseThatRun(t *testing.T) {
 	q, _ := open(t, 1, 10)
 	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
-	waits := enter(t, t.Context(), q, 1, 1000)
+	waits := enter(t.Context(), t, q, 1, 1000)
 	q.Shut()
 	assert.Equal(t, <-waits, reason.Leaving)
 	running, _ := q.Load()
@@ -100,7 +100,7 @@
 func TestHigherLimitLetsMoreBegin(t *testing.T) {
 	q, _ := open(t, 1, 10)
 	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
-	waits := enter(t, t.Context(), q, 1, 1000)
+	waits := enter(t.Context(), t, q, 1, 1000)
 	q.SetLimit(2, 10)
 	assert.Equal(t, <-waits, reason.Reason(""))
 }
