Charge the repeats that come from above to each service's budget

Each of four steps of a chain repeated up to 8%, and calls of a repeated run are repeats again: 28% at the end. Ruled out: clients' own repeats (new requests) and a single step's budget.

--- a/outbnd/again.go
+++ b/outbnd/again.go
@@ -26,16 +26,22 @@
 	return budget{&e.mutex, r}
 }
 
-func (b budget) earn() {
+// first counts the first send of a request. A call of a repeated run is a
+// repeat at the service where it arrives, and leaves less for others.
+func (b budget) first(repeat bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.ratio.Earn()
+	if repeat {
+		b.ratio.Charge()
+	}
 }
 
-func (b budget) spend() bool {
+// spend takes one repeat if there are at least so many.
+func (b budget) spend(least float64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.ratio.Spend()
+	return b.ratio.Saved() >= least && b.ratio.Spend()
 }
 
 // again decides whether to offer the request to one more instance.
@@ -54,7 +60,7 @@
 		return false
 	}
 	if o.Ran == runst.Never {
-		return e.spend(q)
+		return e.spend(q, 1)
 	}
 	if !q.trip.Idempotent || q.sends >= q.route.Attempts {
 		return false
@@ -62,11 +68,16 @@
 	if o.Answered() && !o.Failed() || o.Reason == reason.Cancelled || o.Reason == reason.DeadlineExceeded {
 		return false
 	}
-	return e.spend(q)
+	if o.Failed() {
+		// The run made calls, perhaps, which a repeat makes all again. What
+		// failed deeper was repeated there already.
+		return e.spend(q, spareRepeats)
+	}
+	return e.spend(q, 1)
 }
 
-func (e *Entry) spend(q *request) bool {
-	if !e.budget(q.trip.Service).spend() {
+func (e *Entry) spend(q *request, least float64) bool {
+	if !e.budget(q.trip.Service).spend(least) {
 		return false
 	}
 	q.trip = q.trip.WithRepeat()
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -36,11 +36,13 @@
 )
 
 const (
-	// repeatPart of the fleet's budget is spent at one step of a chain: the
-	// calls of a repeated run count as repeats where they arrive.
-	repeatPart = 0.4
+	// repeatPart of the fleet's budget is spent, as nodes don't see each other's
+	// repeats.
+	repeatPart = 0.6
 	// savedRepeats is what the budget for a service saves up at a node.
 	savedRepeats = 5
+	// spareRepeats must be saved for the repeat of a run that failed.
+	spareRepeats = 3
 	// offers is to how many gates a request is offered that none lets in.
 	offers = 3
 	// leastMillis is the least time with which a request is offered once more.
@@ -214,7 +216,7 @@
 // send offers the request to instances until one has run it, or none will.
 func (e *Entry) send(q *request) output.Output {
 	tried := make(map[string]bool)
-	e.budget(q.trip.Service).earn()
+	e.budget(q.trip.Service).first(q.trip.Repeat)
 	var last output.Output
 	for {
 		c, ok := e.picker.Pick(q.trip.Service, tried, false)
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -55,3 +55,14 @@
 func (r *Ratio) Return(n int) {
 	r.saved = min(r.saved+float64(n), r.most)
 }
+
+// Charge takes a retry out of the budget that was decided on elsewhere, also
+// if there's none. The debt is at most what the budget may save up.
+func (r *Ratio) Charge() {
+	r.saved = max(r.saved-1, -r.most)
+}
+
+// Saved returns how many retries are in the budget.
+func (r *Ratio) Saved() float64 {
+	return r.saved
+}
