--- a/config/config.go
+++ b/config/config.go
@@ -25,6 +25,8 @@
 	// the length of the longest of these, in bytes.
 	prefixes map[place]route.Route
 	longest  int
+	// idleMillis is how long callers' connections may be idle.
+	idleMillis int64
 }
 
 // place is where a route begins: its host, empty for any, and its path.
@@ -73,6 +75,20 @@
 	c.exact[place{r.Host, r.Match}] = r
 }
 
+// WithIdle returns the configuration with the time for which callers may keep
+// idle connections, in milliseconds.
+func (c *Config) WithIdle(millis int64) *Config {
+	changed := *c
+	changed.idleMillis = millis
+	return &changed
+}
+
+// IdleMillis returns for how long callers may keep idle connections, or 0 if
+// the configuration doesn't say.
+func (c *Config) IdleMillis() int64 {
+	return c.idleMillis
+}
+
 // Version returns the number of the accepted change that made this value.
 func (c *Config) Version() int64 {
 	return c.version
--- a/cutoff/cutoff.go
+++ b/cutoff/cutoff.go
@@ -17,7 +17,7 @@
 }
 
 // leastShare of each grade is let in, so that no kind of request starves.
-const leastShare = 0.15
+const leastShare = 0.1
 
 // Share returns the part of a grade's requests that is let in.
 func (c Cutoff) Share(g grade.Grade) float64 {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -23,6 +23,10 @@
 	// ask at different times, so that one of them soon finds out when the
 	// store is back, or when a connection has gone silent, and tells the rest.
 	holdMillis = 4000
+	// lookMillis passes between two looks of a node that doesn't hold a call,
+	// restPause between two of its questions whether it should.
+	lookMillis = 30_000
+	restPause  = 200 * time.Millisecond
 	// firstPause to mostPause pass after calls that fail, doubled each time.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 2 * time.Second
@@ -38,6 +42,9 @@
 	log    *slog.Logger
 	// onChange is told each configuration that comes into force.
 	onChange func(*config.Config)
+	// watches tells whether this node is one of those that hold a call to the
+	// store; the others hear of changes from them.
+	watches func() bool
 
 	current atomic.Pointer[config.Config]
 	mutex   sync.Mutex
@@ -48,8 +55,8 @@
 
 // New returns a follower of the row with this key, which decode reads. No
 // configuration is in force until Run or Take has found one.
-func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config)) *Follow {
-	return &Follow{store: store, table: table, key: key, decode: decode, clock: c, log: log, onChange: onChange}
+func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config), watches func() bool) *Follow {
+	return &Follow{store: store, table: table, key: key, decode: decode, clock: c, log: log, onChange: onChange, watches: watches}
 }
 
 // Current returns the configuration in force, or nil if none is known yet.
@@ -100,8 +107,14 @@
 	var version int64
 	known := false
 	pause := firstPause
+	lookedAt := int64(0)
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, version, known)
+		if known && !f.watches() && f.clock.Since(lookedAt) < lookMillis {
+			f.sleep(ctx, restPause)
+			continue
+		}
+		lookedAt = f.clock.Now()
+		next, err := f.step(ctx, version, known && f.watches())
 		switch {
 		case errors.Is(err, feed.ErrForgotten):
 			f.log.Info("follow: the history is gone", "After", version)
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -41,6 +41,8 @@
 	unusedPart = 0.01
 	// forgetPart is the part below which a root is forgotten.
 	forgetPart = 0.001
+	// leastFailing is the part of failing runs that counts as none.
+	leastFailing = 0.001
 	// tellMillis passes between two lines of the gate's state.
 	tellMillis = 1000
 	// loadSmoothing and failSmoothing are the weights of new values in means.
@@ -234,6 +236,9 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.failing += (part - g.failing) * failSmoothing
+	if g.failing < leastFailing {
+		g.failing = 0
+	}
 }
 
 // Tick adapts the limit and the threshold. It's called ten times a second.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,7 +1,7 @@
 // Package mesh spreads the nodes' cards among them as datagrams.
 //
 // Each node sends its card to all others, or in a large fleet to a few random
-// ones together with others' cards. A lost datagram does no harm: the next card
+// ones together with a few cards of others. A lost datagram does no harm: the next card
 // says the same and more. Silence proves nothing; those who choose an instance
 // only avoid the silent ones.
 package mesh
@@ -25,11 +25,11 @@
 	// busyMillis and restMillis are the times between two cards.
 	busyMillis = 100
 	restMillis = 300
-	// fanout is to how many peers a card goes; a fleet of up to this many
-	// nodes needs no relays.
-	fanout = 20
-	// relayed is how many cards of others go along in a larger fleet.
-	relayed = 10
+	// direct is how many peers all get each card; in a larger fleet a card goes
+	// to fanout random peers, together with relayed cards of others.
+	direct  = 20
+	fanout  = 8
+	relayed = 4
 	// silentMillis is after how long a peer counts as silent; it's asked only
 	// now and then from then on.
 	silentMillis = 1500
@@ -178,7 +178,7 @@
 		}
 	}
 	cards := []card.Card{own}
-	if len(heard) > fanout {
+	if len(heard) > direct {
 		m.random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
 		for _, p := range heard[fanout:min(fanout+relayed, len(heard))] {
 			cards = append(cards, p.card)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sort"
 	"sync"
 
 	"bergamotloom.example/card"
@@ -48,6 +49,9 @@
 	random    *rand.Rand
 	instances map[string]*instance
 	services  map[string][]*instance
+	// good, poor and sums are used by one Pick after the other.
+	good, poor []*instance
+	sums       []float64
 }
 
 type instance struct {
@@ -119,7 +123,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.clock.Now()
-	var good, poor []*instance
+	good, poor := p.good[:0], p.poor[:0]
 	for _, n := range p.services[service] {
 		if n.card.Target == "" || n.card.Stopping {
 			continue
@@ -135,6 +139,7 @@
 			good = append(good, n)
 		}
 	}
+	p.good, p.poor = good, poor
 	from := good
 	if len(from) == 0 {
 		from = poor
@@ -142,9 +147,10 @@
 	if len(from) == 0 {
 		return card.Card{}, false
 	}
-	best := p.draw(from)
+	sums := p.weigh(from)
+	best := p.draw(from, sums)
 	for range draws - 1 {
-		if other := p.draw(from); p.millis(other) < p.millis(best) {
+		if other := p.draw(from, sums); p.millis(other) < p.millis(best) {
 			best = other
 		}
 	}
@@ -169,24 +175,29 @@
 	}
 }
 
-// draw returns a random instance, by what each gets done.
-func (p *Picker) draw(from []*instance) *instance {
+// weigh returns the sums of the weights up to each instance.
+func (p *Picker) weigh(from []*instance) []float64 {
 	sum := 0.0
+	p.sums = p.sums[:0]
 	for _, n := range from {
 		sum += p.weight(n)
+		p.sums = append(p.sums, sum)
 	}
-	at := p.random.Float64() * sum
-	for _, n := range from {
-		if at -= p.weight(n); at < 0 {
-			return n
-		}
-	}
-	return from[len(from)-1]
+	return p.sums
+}
+
+// draw returns a random instance, by what each gets done.
+func (p *Picker) draw(from []*instance, sums []float64) *instance {
+	at := sort.SearchFloat64s(sums, p.random.Float64()*sums[len(sums)-1])
+	return from[min(at, len(from)-1)]
 }
 
 func (p *Picker) weight(n *instance) float64 {
 	slots := float64(max(n.card.Limit, 1))
-	w := slots / n.runMillis() * math.Pow(1-min(float64(n.card.Failing), mostFailing), failPower)
+	w := slots / n.runMillis()
+	if n.card.Failing > 0 {
+		w *= math.Pow(1-min(float64(n.card.Failing), mostFailing), failPower)
+	}
 	if n.card.Centre == p.centre && float64(n.load()) < roomyPart*slots {
 		w *= nearFactor
 	}
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -8,6 +8,7 @@
 package ration
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 
@@ -28,6 +29,12 @@
 	unheardMillis = 250
 	// askSmoothing is the weight of a new count in the mean rate of asks.
 	askSmoothing = 0.2
+	// nearPart of its burst left brings a team's counts into each card; tellAll
+	// is in which of how many cards all counts are.
+	nearPart = 0.7
+	tellAll  = 8
+	// leastAsks is the rate below which a team isn't spoken of.
+	leastAsks = 0.05
 	// mostRetryMillis bounds Retry-After.
 	mostRetryMillis = 2000
 )
@@ -38,6 +45,7 @@
 	mutex  sync.Mutex
 	clock  clock.Clock
 	random *rand.Rand
+	told   int
 	full   bool
 	teams  map[uint32]*account
 	peers  map[string]*peer
@@ -62,7 +70,6 @@
 	incarnation int64
 	admitted    map[uint32]int64
 	asks        map[uint32]float32
-	heardAt     int64
 }
 
 // New returns an empty ration. Full tells that the fleet starts for the first
@@ -165,7 +172,19 @@
 			}
 		}
 	}
-	p.admitted, p.asks, p.heardAt = c.Admitted, c.Asked, q.clock.Now()
+	// A card leaves out what hardly matters; what was said before holds on.
+	admitted, asks := maps.Clone(p.admitted), maps.Clone(p.asks)
+	if admitted == nil {
+		admitted = make(map[uint32]int64)
+	}
+	if asks == nil {
+		asks = make(map[uint32]float32)
+	}
+	for team, count := range c.Admitted {
+		admitted[team] = max(count, admitted[team])
+		asks[team] = c.Asked[team]
+	}
+	p.admitted, p.asks = admitted, asks
 }
 
 // Forget drops a node that's gone.
@@ -189,16 +208,22 @@
 	}
 }
 
-// Describe adds the counts and rates to the node's card.
+// Describe adds the counts and rates to the node's card: those of teams that
+// come near their limit, and of all teams now and then.
 func (q *Ration) Describe(c card.Card) card.Card {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	c.Admitted = make(map[uint32]int64, len(q.teams))
-	c.Asked = make(map[uint32]float32, len(q.teams))
+	c.Admitted = make(map[uint32]int64)
+	c.Asked = make(map[uint32]float32)
+	q.told++
+	all := q.told%tellAll == 0
 	for t, a := range q.teams {
-		if a.admitted > 0 {
+		if a.rate <= 0 || a.admitted == 0 && a.asks < leastAsks {
+			continue
+		}
+		if all || a.level < nearPart*a.burst {
 			c.Admitted[t] = a.admitted
-			if a.asks > 0.05 {
+			if a.asks >= leastAsks {
 				c.Asked[t] = float32(a.asks)
 			}
 		}
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bergamotloom.example/card"
 )
 
 const (
@@ -28,6 +30,9 @@
 	// keepWait bounds how long a leaving target waits for its acknowledgement
 	// while the store is asked to remember it.
 	keepWait = 600 * time.Millisecond
+	// watchers is how many nodes hold a call to the store; some of them may be
+	// turned away by it.
+	watchers = 16
 	// behindMillis is how often peers' versions are compared.
 	behindMillis = 100
 	fetchTimeout = time.Second
@@ -115,24 +120,56 @@
 	}
 }
 
+// watches tells whether this node is one of the few that hold a call to the
+// store: it is by the order of the addresses' hashes, or if it hardly hears
+// of others.
+func (n *Sidecar) watches() bool {
+	known, heard := n.mesh.Heard()
+	if known < watchers || heard*2 < known {
+		return true
+	}
+	own := card.Hash(n.siting.Peers)
+	before := 0
+	for _, c := range n.mesh.Cards() {
+		if card.Hash(c.Peers) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// ahead returns a random peer of those with the newest configuration, if that's
+// newer than the own one.
+func (n *Sidecar) ahead() (peer string, newest int64) {
+	newest = n.follow.Version()
+	var peers []string
+	for _, c := range n.mesh.Cards() {
+		switch {
+		case c.Version > newest:
+			newest, peers = c.Version, []string{c.Peers}
+		case c.Version == newest && len(peers) > 0:
+			peers = append(peers, c.Peers)
+		}
+	}
+	if len(peers) == 0 {
+		return "", newest
+	}
+	return peers[rand.IntN(len(peers))], newest
+}
+
 // catchUp fetches the configuration from a peer that has a newer one.
 func (n *Sidecar) catchUp(ctx context.Context) {
 	client := &http.Client{Timeout: fetchTimeout}
 	behind := 0
 	for ctx.Err() == nil {
 		n.sleep(ctx, behindMillis*time.Millisecond)
-		newest, peer := n.follow.Version(), ""
-		for _, c := range n.mesh.Cards() {
-			if c.Version > newest {
-				newest, peer = c.Version, c.Peers
-			}
-		}
+		peer, newest := n.ahead()
 		if peer == "" {
 			behind = 0
 			continue
 		}
 		// The store's own word is about to come, in most cases.
-		if behind++; behind < 2 {
+		if behind++; behind < 2 && n.watches() {
 			continue
 		}
 		if err := n.fetch(ctx, client, peer); err != nil {
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -15,8 +15,12 @@
 const (
 	// headerTimeout is how long a caller may take for a request's head.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep their connections idle.
-	idleTimeout = 2 * time.Minute
+	// peerIdle is longer than nodes keep their connections to others idle.
+	peerIdle = 2 * time.Minute
+	// callerIdle is how long callers' connections may be idle if the
+	// configuration isn't known soon after the start, which says it.
+	callerIdle  = 15 * time.Second
+	configWait  = 400 * time.Millisecond
 	headerBytes = 64 << 10
 	// lameDuck is how long requests are still taken after a stop signal:
 	// callers ask once a second whether the node is ready, and leave after two
@@ -50,16 +54,32 @@
 		s := &http.Server{
 			Handler:           p.handler,
 			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
+			IdleTimeout:       peerIdle,
 			MaxHeaderBytes:    headerBytes,
 			ConnContext:       peeked.Context,
 		}
 		servers = append(servers, s)
-		go func() { n.failed(p.name, s.Serve(l)) }()
+		go func() {
+			if p.name == "callers" {
+				s.IdleTimeout = n.idle()
+			}
+			n.failed(p.name, s.Serve(l))
+		}()
 	}
 	return servers, nil
 }
 
+// idle returns for how long callers' connections may be idle. The port is open
+// already, so callers only wait a little longer for their first answer.
+func (n *Sidecar) idle() time.Duration {
+	for end := time.Now().Add(configWait); time.Now().Before(end); time.Sleep(stopPoll) {
+		if c := n.follow.Current(); c != nil && c.IdleMillis() > 0 {
+			return time.Duration(c.IdleMillis()) * time.Millisecond
+		}
+	}
+	return callerIdle
+}
+
 // stop ends the node as planned: it takes no new work for its target, lets the
 // callers go elsewhere, and answers all requests that it has read.
 func (n *Sidecar) stop(servers []*http.Server) {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -69,7 +69,7 @@
 func New(s siting.Siting, w words.Words, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
 	n := &Sidecar{siting: s, clock: c, log: log, store: store}
-	n.follow = follow.New(store, table, key, decode, c, log, n.apply)
+	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.watches)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
 	book := parent.New(c, w.CallMark)
 	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, log)
