--- a/card/card.go
+++ b/card/card.go
@@ -33,8 +33,10 @@
 	RunMillis float32 `cbor:"12,keyasint,omitempty"`
 	// Failing is the part of the runs that fail or that the target rejects.
 	Failing float32 `cbor:"13,keyasint,omitempty"`
-	// Cutoff is the admission threshold for the roots in Uses.
+	// Cutoff and Least are the admission threshold for the roots in Uses, in
+	// grades and as the part of the least shares.
 	Cutoff float32 `cbor:"14,keyasint,omitempty"`
+	Least  float32 `cbor:"20,keyasint,omitempty"`
 	// Uses lists the roots that use the target, by the hashes of their names,
 	// with the part of its time that each takes.
 	Uses map[uint32]float32 `cbor:"15,keyasint,omitempty"`
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -104,7 +104,7 @@
 		left:       make(map[string]int64),
 		limit:      limit.New(1),
 		pacer:      pacer.New(),
-		cutoff:     cutoff.Full,
+		cutoff:     cutoff.Full(),
 		work:       work{at: c.Fine(), roots: make(map[string]float64), uses: make(map[string]float64)},
 	}
 }
@@ -253,10 +253,10 @@
 	arrived := g.work.tick(g.clock.Fine(), float64(chosen))
 	line := float64(waiting) * run / float64(chosen)
 	g.cutoff = g.pacer.Step(arrived, line)
-	if now-g.toldAt >= tellMillis && (running > 0 || g.cutoff < cutoff.Full) {
+	if now-g.toldAt >= tellMillis && (running > 0 || !g.cutoff.IsFull()) {
 		g.toldAt = now
 		g.log.Info("gate: state", "Target", g.target.Target, "Limit", chosen, "Running", running, "Waiting", waiting,
-			"RunMillis", run, "LineMillis", line, "Arrived", arrived, "Cutoff", float64(g.cutoff), "Failing", g.failing)
+			"RunMillis", run, "LineMillis", line, "Arrived", arrived, "Cutoff", g.cutoff.Grades, "Least", g.cutoff.Least, "Failing", g.failing)
 	}
 	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
 		g.known = false
@@ -313,7 +313,7 @@
 	c.Limit = g.limit.Slots()
 	c.RunMillis = float32(g.limit.RunMillis())
 	c.Failing = float32(g.failing)
-	c.Cutoff = float32(g.cutoff)
+	c.Cutoff, c.Least = float32(g.cutoff.Grades), float32(g.cutoff.Least)
 	c.Uses = make(map[uint32]float32, len(g.work.uses))
 	for root, part := range g.work.uses {
 		if part >= unusedPart {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -14,20 +14,23 @@
 const (
 	// fullPart of what the target can do is let in.
 	fullPart = 0.96
-	// waitMillis is the time in the line that needs no correction. A chain of
-	// ten calls then waits ten times as long, within an objective of 1.5 s.
-	waitMillis = 15
+	// waitMillis is the time in the line that needs no correction: enough that
+	// the target isn't idle while the threshold lags, and little of an
+	// objective, as chains that began earlier go first.
+	waitMillis = 40
 	// drainMillis is the time in which a longer line shall get back there.
-	drainMillis = 500
+	drainMillis = 600
 	// trimStep is by how much a line longer by drainMillis adds to the trim in a
 	// step, mostTrim what the trim is at most.
-	trimStep = 0.1
-	mostTrim = 0.3
+	trimStep = 0.05
+	mostTrim = 0.15
 	// leastPart of what the target can do is let in however long the line is.
 	leastPart = 0.4
 	// lagSteps is how long ago that was let in which arrives now, in steps: a
 	// request makes its calls some hundred milliseconds after its entry.
 	lagSteps = 4
+	// leastApplied bounds by how much what arrives is scaled up.
+	leastApplied = 0.05
 	// smoothing is the weight of a new step in the estimated demand.
 	smoothing = 0.35
 	// leastDemand of a grade is what counts, in parts of what the target can do.
@@ -50,9 +53,9 @@
 
 // New returns a pacer that lets everything in.
 func New() *Pacer {
-	p := &Pacer{cutoff: cutoff.Full}
+	p := &Pacer{cutoff: cutoff.Full()}
 	for i := range p.past {
-		p.past[i] = cutoff.Full
+		p.past[i] = cutoff.Full()
 	}
 	return p
 }
@@ -62,7 +65,7 @@
 // takes, in milliseconds.
 func (p *Pacer) Step(arrived [grade.Count]float64, waiting float64) cutoff.Cutoff {
 	for g, work := range arrived {
-		raw := work / p.applied(grade.Grade(g))
+		raw := work / max(p.applied(grade.Grade(g)), leastApplied)
 		p.demand[g] += (raw - p.demand[g]) * smoothing
 	}
 	p.trim = min(max(p.trim+trimStep*min(max((waiting-waitMillis)/drainMillis, -1), 1), 0), mostTrim)
@@ -70,7 +73,7 @@
 	if waiting > waitMillis {
 		room = max(room-(waiting-waitMillis)/drainMillis, leastPart)
 	}
-	p.cutoff = p.approach(p.fit(room))
+	p.cutoff = p.approach(cutoff.Fit(p.demand, room))
 	copy(p.past[1:], p.past[:])
 	p.past[0] = p.cutoff
 	return p.cutoff
@@ -79,18 +82,18 @@
 // approach moves the threshold towards the wanted one. Above the last grade
 // that there's demand of, it makes no difference where it is.
 func (p *Pacer) approach(wanted cutoff.Cutoff) cutoff.Cutoff {
-	top := cutoff.Cutoff(0)
+	top := 0.0
 	for g, work := range p.demand {
 		if work > leastDemand {
-			top = cutoff.New(grade.Grade(g), 1)
+			top = float64(g + 1)
 		}
 	}
-	now := min(p.cutoff, top)
-	next := min(max(wanted, now-mostChange), now+mostChange)
-	if wanted >= top && next >= top {
-		return cutoff.Full
+	now := min(p.cutoff.Grades, top)
+	next := min(max(wanted.Grades, now-mostChange), now+mostChange)
+	if wanted.Grades >= top && next >= top {
+		return cutoff.Full()
 	}
-	return next
+	return wanted.WithGrades(next)
 }
 
 // applied returns the share of a grade that was let in when what arrives now
@@ -103,17 +106,6 @@
 	return sum / lagSteps
 }
 
-// fit returns the threshold that lets in as much as there is room for.
-func (p *Pacer) fit(room float64) cutoff.Cutoff {
-	for g, work := range p.demand {
-		if work > room {
-			return cutoff.New(grade.Grade(g), room/work)
-		}
-		room -= work
-	}
-	return cutoff.Full
-}
-
 // Cutoff returns the threshold.
 func (p *Pacer) Cutoff() cutoff.Cutoff {
 	return p.cutoff
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -41,9 +42,7 @@
 
 // join writes the node into the store and reads who else is there.
 func (n *Sidecar) join(ctx context.Context) {
-	for _, seed := range n.siting.Seeds {
-		n.log.Info("node: seed", "Address", seed)
-	}
+	n.addSeeds()
 	n.retry(ctx, "the node's row", func() error {
 		return n.store.Put(ctx, nodesTable, n.siting.Peers, []byte(n.siting.Name))
 	})
@@ -61,6 +60,24 @@
 	}
 }
 
+// addSeeds makes the seeds known. They're given by their control ports; all
+// nodes of a fleet have the same ports.
+func (n *Sidecar) addSeeds() {
+	_, port, err := net.SplitHostPort(n.siting.Peers)
+	if err != nil {
+		n.log.Error("node: no seeds", "Error", err.Error())
+		return
+	}
+	for _, seed := range n.siting.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			n.log.Warn("node: bad seed", "Address", seed, "Error", err.Error())
+			continue
+		}
+		n.mesh.Add(net.JoinHostPort(host, port))
+	}
+}
+
 func (n *Sidecar) readNodes(ctx context.Context) error {
 	rows, _, err := n.store.Rows(ctx, nodesTable)
 	for _, r := range rows {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -39,6 +39,9 @@
 	// targetIdleMillis is for how long an idle connection to the target is used
 	// again; many targets close theirs after some seconds.
 	targetIdleMillis = 4000
+	// aloneMillis after its start, a node that heard of no other is alone: peers
+	// send their cards to those that are silent once a second.
+	aloneMillis = 1500
 	// restMillis without a request lets the node rest.
 	restMillis = 1000
 )
@@ -58,17 +61,19 @@
 	screen *screen.Screen
 	pool   *conns.Conns
 
-	stopping atomic.Bool
-	active   atomic.Int64
-	usedAt   atomic.Int64
-	group    sync.WaitGroup
+	// startedAt is when the node was made, by its clock.
+	startedAt int64
+	stopping  atomic.Bool
+	active    atomic.Int64
+	usedAt    atomic.Int64
+	group     sync.WaitGroup
 }
 
 // New returns a node that is about to run. The configuration lies in the
 // store's table under the key, and decode reads it.
 func New(s siting.Siting, w words.Words, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
-	n := &Sidecar{siting: s, clock: c, log: log, store: store}
+	n := &Sidecar{siting: s, clock: c, log: log, store: store, startedAt: c.Now()}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.watches)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
 	book := parent.New(c, w.CallMark)
@@ -137,9 +142,14 @@
 	n.mesh.Send()
 }
 
-// Ready tells whether callers should send their requests here.
+// Ready tells whether callers should send their requests here: a configuration
+// is in force, and others were heard, unless the node seems to be alone.
 func (n *Sidecar) Ready() bool {
-	return !n.stopping.Load() && n.follow.Current() != nil
+	if n.stopping.Load() || n.follow.Current() == nil {
+		return false
+	}
+	_, heard := n.mesh.Heard()
+	return heard > 0 || n.clock.Since(n.startedAt) > aloneMillis
 }
 
 // Run serves until the context ends, and then stops as planned. Ready and
--- a/verbs/sidecar.go
+++ b/verbs/sidecar.go
@@ -31,7 +31,7 @@
 	heapPart = 0.55
 	// sidecarCollect lets the heap grow to that many percent of what lives
 	// before it's collected.
-	sidecarCollect = 200
+	sidecarCollect = 100
 )
 
 // Run serves until a stop signal and then stops within the platform's grace.
