--- a/conns/conns.go
+++ b/conns/conns.go
@@ -38,7 +38,7 @@
 	mostStray  = 8
 	strayBytes = 256 << 10
 	// mostIdle is how many idle connections are kept.
-	mostIdle = 512
+	mostIdle = 128
 )
 
 // Conns keeps connections to one address. It's safe for many goroutines.
@@ -221,5 +221,17 @@
 		return false
 	}
 	p.idle = append(p.idle, c)
+	p.prune(c.usedAt)
 	return true
 }
+
+// prune closes connections that weren't needed for a while: those used last
+// are taken first, so the others would stay open for good.
+func (p *Conns) prune(now int64) {
+	old := 0
+	for old < len(p.idle) && now-p.idle[old].usedAt >= p.idle[old].keepMillis {
+		_ = p.idle[old].Close()
+		old++
+	}
+	p.idle = append(p.idle[:0], p.idle[old:]...)
+}
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -214,3 +214,52 @@
 	assert.NilError(t, err)
 	assert.Equal(t, opened(), 2)
 }
+
+func TestConnectionsThatArentNeededAnyMoreAreClosed(t *testing.T) {
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	closed := make(chan struct{}, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						closed <- struct{}{}
+						return
+					}
+					// Two requests are open at once, so there are two connections.
+					time.Sleep(30 * time.Millisecond)
+					_, _ = io.WriteString(c, answer("a", "x"))
+				}
+			}()
+		}
+	}()
+	manual, advance := clock.NewManual(0)
+	p := conns.New(l.Addr().String(), manual, 1000)
+	both := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, _, err := ask(t, p, manual, "a")
+			both <- err
+		}()
+	}
+	assert.NilError(t, <-both)
+	assert.NilError(t, <-both)
+	advance(700)
+	_, _, err = ask(t, p, manual, "a")
+	assert.NilError(t, err)
+	advance(700)
+	_, _, err = ask(t, p, manual, "a")
+	assert.NilError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the second connection is still open")
+	}
+}
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -26,7 +26,7 @@
 	loadHeader = "Loom-Load"
 	// idleMillis is for how long an idle connection is used again. Gates keep
 	// theirs much longer.
-	idleMillis = 20_000
+	idleMillis = 5_000
 	// graceMillis is how much longer than its time a request is waited for: the
 	// gate answers in time, and its word is better than none.
 	graceMillis  = 30
--- a/lines/lines.go
+++ b/lines/lines.go
@@ -5,17 +5,24 @@
 package lines
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
 	"bergamotloom.example/ring"
 )
 
+// requestMark is in the lines of requests, of which there may be very many.
+var requestMark = []byte(`"msg":"entry: `)
+
 const (
+	// noteEvery bounds how often a line tells how many were left out.
+	noteEvery = time.Second
 	// ringLines is how many lines may wait.
 	ringLines = 2048
 	// perSecond and atOnce bound the lines of requests, which together with
@@ -31,6 +38,8 @@
 	ring  *ring.Ring[[]byte]
 	mutex sync.Mutex
 	left  int64
+	// notedAt is used by Run only.
+	notedAt time.Time
 }
 
 // New returns lines that go to the writer once Run is called.
@@ -40,7 +49,8 @@
 
 // Write takes one line. It never waits and never fails.
 func (l *Lines) Write(line []byte) (int, error) {
-	if !l.limit.Allow() || !l.ring.Put(append([]byte(nil), line...)) {
+	many := bytes.Contains(line, requestMark) && !l.limit.Allow()
+	if many || !l.ring.Put(append([]byte(nil), line...)) {
 		l.mutex.Lock()
 		l.left++
 		l.mutex.Unlock()
@@ -71,9 +81,18 @@
 	}
 }
 
+// due returns how many lines were left out, if it's time to tell.
+func (l *Lines) due() int64 {
+	if time.Since(l.notedAt) < noteEvery {
+		return 0
+	}
+	l.notedAt = time.Now()
+	return l.LeftOut()
+}
+
 // write passes a line on, after the number of those left out before it.
 func (l *Lines) write(line []byte) {
-	if n := l.LeftOut(); n > 0 {
+	if n := l.due(); n > 0 {
 		note, err := json.Marshal(map[string]any{"level": "WARN", "msg": "log: lines left out", "Count": n})
 		if err == nil {
 			_, _ = l.to.Write(append(note, '\n'))
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -108,6 +108,9 @@
 	body   []byte
 	more   func(io.Writer) error
 	length int64
+	// peer and target are those that the request was offered to last.
+	peer   string
+	target string
 	tries  int
 	sends  int
 }
@@ -228,6 +231,7 @@
 		}
 		q.tries++
 		tried[c.Peers] = true
+		q.peer, q.target = c.Peers, c.Target
 		t := q.trip.WithLeft(e.clock.Fine() - q.began)
 		if c.Peers == e.self {
 			last = e.gate.Do(q.Context(), q.Request, q.Header, q.body, q.more, q.length, t)
--- a/outbnd/record.go
+++ b/outbnd/record.go
@@ -25,6 +25,8 @@
 		"Team", q.team.Name,
 		"Service", q.trip.Service,
 		"Call", q.trip.Call,
+		"Peer", q.peer,
+		"Target", q.target,
 		"Reason", string(o.Reason),
 		"Ran", string(o.Ran),
 		"Detail", o.Detail,
