--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if started || opened {
-		g.log.Info("gate: target is ready", "Target", n.Target, "BornMillis", n.BornMillis, "Sequence", n.Sequence, "Slots", n.Slots)
+		g.log.Info("gate: target is ready", "Target", n.Target, "BornMillis", n.BornMillis, "Sequence", n.Sequence, "Slots", n.Slots, "ColdMillis", n.ColdMillis)
 	}
 	if !g.stopping {
 		g.queue.SetLimit(g.limit.Choose(false, g.heardAt), g.limit.RunMillis())
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -48,6 +48,9 @@
 	// leastMillis is the least time with which a request is offered once more.
 	leastMillis = 10
 	bearer      = "Bearer "
+	// mostLeftMillis is the time of a request for which neither its route nor
+	// its caller names one.
+	mostLeftMillis = 30_000
 	// defaultLeftMillis is taken for the time left of a request of which it
 	// isn't known.
 	defaultLeftMillis = 600
@@ -176,6 +179,9 @@
 // runs.
 func (e *Entry) trace(q *request) {
 	left := float64(q.route.TimeoutMillis)
+	if left <= 0 {
+		left = mostLeftMillis
+	}
 	named, err := strconv.ParseFloat(q.Header.Get(e.words.TimeLeft), 64)
 	if err == nil && named > 0 {
 		left = min(left, named)
--- a/siting/siting.go
+++ b/siting/siting.go
@@ -41,19 +41,11 @@
 	MemoryBytes int64
 	// HeartbeatMillis is the time between two heartbeats of a target.
 	HeartbeatMillis int64
-	// DrainMillis is how long after the acknowledgement a leaving target may
-	// still get requests that were under way.
-	DrainMillis int64
 	// GraceMillis is the time from the stop signal to the kill.
 	GraceMillis int64
-	// AckMillis is the time within which a target's leaving is acknowledged.
-	AckMillis int64
-	// RetryRatio, RetryExtra and RetryWindowMillis bound the repeats at one
-	// service over all nodes: in each window at most RetryRatio x requests +
-	// RetryExtra.
-	RetryRatio        float64
-	RetryExtra        float64
-	RetryWindowMillis int64
+	// RetryRatio bounds the repeats at one service, over all nodes, to a part of
+	// its requests.
+	RetryRatio float64
 }
 
 // Check returns what is wrong with the settings, naming the setting, its value
@@ -81,10 +73,8 @@
 		return errors.New("the data centre is empty: it must be named")
 	case s.GraceMillis <= 0:
 		return errors.Errorf("the grace is %d ms: it must be positive", s.GraceMillis)
-	case s.DrainMillis <= 0:
-		return errors.Errorf("the drain is %d ms: it must be positive", s.DrainMillis)
-	case s.RetryRatio < 0 || s.RetryExtra < 0:
-		return errors.Errorf("the retry budget is %v and %v: neither may be negative", s.RetryRatio, s.RetryExtra)
+	case s.RetryRatio < 0:
+		return errors.Errorf("the retry ratio is %v: it may not be negative", s.RetryRatio)
 	}
 	return nil
 }
