Remind a node of its later start; serve counters and latencies by go-metrics

A test found it: a node that started again after its wall clock was put back (clock_step) took a lower incarnation, and its cards were ignored until the clock had caught up, as in a fleet of up to 20 nodes nobody relays its old card to it.

--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,9 @@
 	go vet ./...
 	$(GOBIN)/golangci-lint run --allow-parallel-runners ./...
 
-# Tests with processes run one package after another and after the rest, so
+# Tests with processes, or with whole nodes, run one package after another and after the rest, so
 # that they have the machine for themselves, as their bounds in time need it.
-PROCESSES := bergamotloom.example/fleet bergamotloom.example/verbs
+PROCESSES := bergamotloom.example/fleet bergamotloom.example/verbs bergamotloom.example/platform
 
 test: lint build
 	go test -race -timeout 20m $(filter-out $(PROCESSES),$(shell go list ./...))
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
@@ -45,6 +46,8 @@
 	leastFailing = 0.001
 	// tellMillis passes between two lines of the gate's state.
 	tellMillis = 1000
+	// sampleSize is how many times a histogram keeps to tell its quantiles.
+	sampleSize = 1024
 	// loadSmoothing and failSmoothing are the weights of new values in means.
 	loadSmoothing = 0.3
 	failSmoothing = 0.05
@@ -59,6 +62,9 @@
 	queue   *queue.Queue
 	book    *parent.Book
 	log     *slog.Logger
+	// waits and runs hold how long requests wait and run, in milliseconds.
+	waits metrics.Histogram
+	runs  metrics.Histogram
 	// beatMillis is the time between two heartbeats.
 	beatMillis int64
 
@@ -91,7 +97,7 @@
 
 // New returns the gate of the target at the pool's address, which runs this
 // service. It lets nothing in before the target's first heartbeat.
-func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, log *slog.Logger) *Gate {
+func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, log *slog.Logger, registry metrics.Registry) *Gate {
 	return &Gate{
 		clock:      c,
 		words:      w,
@@ -100,6 +106,8 @@
 		queue:      queue.New(c),
 		book:       book,
 		log:        log,
+		waits:      metrics.GetOrRegisterHistogram("gate.wait.millis", registry, metrics.NewUniformSample(sampleSize)),
+		runs:       metrics.GetOrRegisterHistogram("gate.run.millis", registry, metrics.NewUniformSample(sampleSize)),
 		beatMillis: beatMillis,
 		left:       make(map[string]int64),
 		limit:      limit.New(1),
@@ -124,6 +132,7 @@
 		return output.Refused(why, "at the gate")
 	}
 	defer g.queue.Leave()
+	g.waits.Update(int64(g.clock.Fine() - began))
 	// The target may have left while the request waited.
 	if now, ok := g.current(); !ok || now.Target != target.Target {
 		return output.Refused(reason.Leaving, "the target left")
@@ -223,6 +232,7 @@
 		return
 	}
 	g.failed(0)
+	g.runs.Update(int64(millis))
 	kind := t.Root
 	if t.Call {
 		kind = "calls of " + t.Root
--- a/inbnd/target_test.go
+++ b/inbnd/target_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"bergamotloom.example/clock"
@@ -16,7 +17,7 @@
 
 func newGate() (*inbnd.Gate, func(float64)) {
 	c, advance := clock.NewManual(1_000_000)
-	g := inbnd.New(c, words.Words{}, "stock", 1500, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), slog.New(slog.DiscardHandler))
+	g := inbnd.New(c, words.Words{}, "stock", 1500, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	return g, advance
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -210,11 +210,34 @@
 		for _, c := range cards {
 			if m.take(c) {
 				m.onCard(c)
+			} else {
+				m.remind(c)
 			}
 		}
 	}
 }
 
+// remind sends a node its own card of a later start, if that's known: a node
+// that starts again after its wall clock was put back takes a lower
+// incarnation, and nobody would listen to it.
+func (m *Mesh) remind(c card.Card) {
+	m.mutex.Lock()
+	p, ok := m.peers[c.Peers]
+	if !ok || !p.known || c.Incarnation >= p.card.Incarnation {
+		m.mutex.Unlock()
+		return
+	}
+	known, to := p.card, p.address
+	m.mutex.Unlock()
+	text, err := card.Encode([]card.Card{known})
+	if err != nil {
+		m.log.Error("mesh: a card can't be written", "Error", err.Error())
+		return
+	}
+	// If it gets lost, the next old card is answered so too.
+	_, _ = m.socket.WriteToUDPAddrPort(text, to)
+}
+
 // take tells whether the card is news of a peer.
 func (m *Mesh) take(c card.Card) bool {
 	m.mutex.Lock()
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
 	"bergamotloom.example/grade"
@@ -77,9 +79,11 @@
 	split   *split.Split
 	book    *parent.Book
 	log     *slog.Logger
-	mutex   sync.Mutex
-	repeats map[string]*ratio.Ratio
-	share   float64
+	// registry holds the counters and latencies of requests.
+	registry metrics.Registry
+	mutex    sync.Mutex
+	repeats  map[string]*ratio.Ratio
+	share    float64
 }
 
 // New returns the entry of the node that peers know as self, beside a target of
@@ -87,12 +91,12 @@
 // a part of its requests.
 func New(
 	c clock.Clock, w words.Words, self, service string, retryRatio float64, conf func() *config.Config,
-	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book, seed uint64, log *slog.Logger,
+	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book, seed uint64, log *slog.Logger, registry metrics.Registry,
 ) *Entry {
 	address, _, _ := net.SplitHostPort(self)
 	return &Entry{
 		clock: c, words: w, self: self, service: service, address: address, config: conf,
-		gate: g, hops: h, picker: p, screen: s, ration: q, split: split.New(seed), book: b, log: log,
+		gate: g, hops: h, picker: p, screen: s, ration: q, split: split.New(seed), book: b, log: log, registry: registry,
 		repeats: make(map[string]*ratio.Ratio), share: retryRatio * repeatPart,
 	}
 }
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
@@ -60,6 +61,8 @@
 	picker *picker.Picker
 	screen *screen.Screen
 	pool   *conns.Conns
+	// registry holds what the metrics port serves.
+	registry metrics.Registry
 
 	// startedAt is when the node was made, by its clock.
 	startedAt int64
@@ -73,17 +76,17 @@
 // store's table under the key, and decode reads it.
 func New(s siting.Siting, w words.Words, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
-	n := &Sidecar{siting: s, clock: c, log: log, store: store, startedAt: c.Now()}
+	n := &Sidecar{siting: s, clock: c, log: log, store: store, startedAt: c.Now(), registry: metrics.NewRegistry()}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.watches)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
 	book := parent.New(c, w.CallMark)
-	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, log)
+	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, log, n.registry)
 	n.ration = ration.New(c, s.FirstStart, seed)
 	n.picker = picker.New(c, s.Centre, seed)
 	n.screen = screen.New(c, seed)
 	across := hops.New(c, n.picker.Load)
 	n.entry = outbnd.New(c, w, s.Peers, s.Service, s.RetryRatio, n.follow.Current,
-		n.gate, across, n.picker, n.screen, n.ration, book, seed, log)
+		n.gate, across, n.picker, n.screen, n.ration, book, seed, log, n.registry)
 	self := card.Card{Peers: s.Peers, Incarnation: time.Now().UnixMilli(), Centre: s.Centre, Hops: s.Hops}
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
--- /dev/null
+++ b/trip/trip_test.go
@@ -0,0 +1,40 @@
+package trip_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bergamotloom.example/grade"
+	"bergamotloom.example/trip"
+)
+
+func TestTripsSurviveTheirHeader(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		text := rapid.String()
+		want := trip.Trip{
+			Root:       text.Draw(r, "root"),
+			Grade:      grade.Grade(rapid.IntRange(0, grade.Count-1).Draw(r, "grade")),
+			Service:    text.Draw(r, "service"),
+			Team:       text.Draw(r, "team"),
+			Origin:     text.Draw(r, "origin"),
+			LeftMillis: float64(rapid.IntRange(-1000, 100_000).Draw(r, "left")) / 2,
+			GoalMillis: float64(rapid.IntRange(-1000, 100_000).Draw(r, "goal")) / 2,
+			Idempotent: rapid.Bool().Draw(r, "idempotent"),
+			Call:       rapid.Bool().Draw(r, "call"),
+			Repeat:     rapid.Bool().Draw(r, "repeat"),
+		}
+		got, err := trip.Decode(want.Encode())
+		if err != nil || got != want {
+			r.Fatalf("%+v came back as %+v, %v", want, got, err)
+		}
+	})
+}
+
+func TestForeignHeadersAreNoTrips(t *testing.T) {
+	for _, text := range []string{"", "a", "a,1,b,c,d,e,f,g", "a,9,s,t,o,1,1,", "a,-1,s,t,o,1,1,", "a,x,s,t,o,1,1,", "%zz,1,s,t,o,1,1,"} {
+		_, err := trip.Decode(text)
+		assert.Assert(t, err != nil, text)
+	}
+}
