Leave silent nodes their part of the rates; a node that is cut off keeps to its own

On the virtual clock: five of 15 nodes cut off from all others while a team sends 4.7 times its rate: 3,929 let in within 5 s of 2,000 allowed, as each cut node ran a bucket of its own. Now at most 2,000; a team of usual size is refused less than 1 in 100 then.

--- a/ration/ration.go
+++ b/ration/ration.go
@@ -29,6 +29,10 @@
 	unheardMillis = 250
 	// askSmoothing is the weight of a new count in the mean rate of asks.
 	askSmoothing = 0.2
+	// silentMillis is after how long a node counts as silent, reserveMillis for
+	// how long its part of the rates is left to it.
+	silentMillis  = 1000
+	reserveMillis = 30_000
 	// nearPart of its burst left brings a team's counts into each card; tellAll
 	// is in which of how many cards all counts are.
 	nearPart = 0.7
@@ -47,8 +51,10 @@
 	random *rand.Rand
 	told   int
 	full   bool
-	teams  map[uint32]*account
-	peers  map[string]*peer
+	// part of the rates may be used by those that this node hears.
+	part  float64
+	teams map[uint32]*account
+	peers map[string]*peer
 }
 
 // account is what the node knows of one team.
@@ -60,6 +66,8 @@
 	level    float64
 	filledAt float64
 	admitted int64
+	// part of the rate and burst is for those that the node hears.
+	part float64
 	// asked counts requests since the last tick, asks is their mean rate.
 	asked int64
 	asks  float64
@@ -70,6 +78,7 @@
 	incarnation int64
 	admitted    map[uint32]int64
 	asks        map[uint32]float32
+	heardAt     int64
 }
 
 // New returns an empty ration. Full tells that the fleet starts for the first
@@ -80,6 +89,7 @@
 		clock:  c,
 		random: rand.New(rand.NewPCG(seed, seed+2)),
 		full:   full,
+		part:   1,
 		teams:  make(map[uint32]*account),
 		peers:  make(map[string]*peer),
 	}
@@ -94,7 +104,7 @@
 	for _, t := range teams {
 		a, ok := q.teams[card.Hash(t.Name)]
 		if !ok {
-			a = &account{filledAt: now}
+			a = &account{filledAt: now, part: q.part}
 			q.teams[card.Hash(t.Name)] = a
 			a.level = -t.Rate * unheardMillis / millisPerSecond
 			if q.full {
@@ -110,10 +120,42 @@
 }
 
 func (a *account) fill(now float64) {
-	a.level = min(a.level+(now-a.filledAt)*a.rate/millisPerSecond, a.burst)
+	a.level = min(a.level+(now-a.filledAt)*a.rate*a.part/millisPerSecond, a.burst*a.part)
 	a.filledAt = now
 }
 
+// ownPart returns the part of the rates that this node and those that it hears
+// may use. A silent node may be cut off and serve on, so its part is left to
+// it for a while; a node that hears few of the others keeps to its own part.
+func (q *Ration) ownPart() float64 {
+	now := q.clock.Now()
+	heard, silent := 1, 0
+	for _, p := range q.peers {
+		switch passed := now - p.heardAt; {
+		case passed <= silentMillis:
+			heard++
+		case passed <= reserveMillis:
+			silent++
+		}
+	}
+	if heard <= silent {
+		heard = 1
+	}
+	return float64(heard) / float64(len(q.peers)+1-q.gone(now))
+}
+
+// gone returns how many peers have been silent for so long that nothing is
+// left to them.
+func (q *Ration) gone(now int64) int {
+	n := 0
+	for _, p := range q.peers {
+		if now-p.heardAt > reserveMillis {
+			n++
+		}
+	}
+	return n
+}
+
 // Take takes one request of the team. If it's over its rate, ok is false and
 // retryMillis tells when there may be room.
 func (q *Ration) Take(name string) (retryMillis int64, ok bool) {
@@ -124,6 +166,7 @@
 		return 0, true
 	}
 	a.asked++
+	a.part = q.part
 	a.fill(q.clock.Fine())
 	if !q.admits(card.Hash(name), a) {
 		wait := (1 - a.level) * millisPerSecond / a.rate
@@ -140,13 +183,17 @@
 // empty.
 func (q *Ration) admits(team uint32, a *account) bool {
 	asks := a.asks
+	now := q.clock.Now()
 	for _, p := range q.peers {
+		if now-p.heardAt > silentMillis {
+			continue
+		}
 		asks += float64(p.asks[team])
 	}
 	if a.level >= 1+asks*lagMillis/millisPerSecond {
 		return true
 	}
-	part := (a.rate + a.level*millisPerSecond/steadyMillis) / max(asks, 1)
+	part := (a.rate*a.part + a.level*millisPerSecond/steadyMillis) / max(asks, 1)
 	return q.random.Float64() < part
 }
 
@@ -185,6 +232,7 @@
 		asks[team] = c.Asked[team]
 	}
 	p.admitted, p.asks = admitted, asks
+	p.heardAt = q.clock.Now()
 }
 
 // Forget drops a node that's gone.
@@ -201,6 +249,7 @@
 func (q *Ration) Tick(millis float64) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.part = q.ownPart()
 	for _, a := range q.teams {
 		rate := float64(a.asked) * millisPerSecond / millis
 		a.asks += (rate - a.asks) * askSmoothing
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -30,6 +30,8 @@
 	// admitted holds when requests were let in, asked how many were asked.
 	admitted []float64
 	refused  int
+	// cut lists nodes that neither hear the others nor are heard.
+	cut map[int]bool
 	// lossy is the part of the cards that get lost.
 	lossy float64
 }
@@ -86,7 +88,7 @@
 		from.Tick(cardMillis)
 		c := from.Describe(card.Card{Peers: fmt.Sprint(i), Incarnation: f.lives[i], Sequence: f.serial})
 		for j, to := range f.nodes {
-			if j != i && f.random.Float64() >= f.lossy {
+			if j != i && !f.cut[i] && !f.cut[j] && f.random.Float64() >= f.lossy {
 				to.Learn(c)
 			}
 		}
@@ -178,3 +180,24 @@
 	f.run(1000, 5000, false)
 	assert.Equal(t, f.refused, 0)
 }
+
+func TestNodesThatAreCutOffKeepToTheirParts(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(15, true, team.Team{Name: "a", Rate: 300, Burst: 300}, seed)
+		f.run(3000, 300/1.6, false)
+		f.cut = map[int]bool{0: true, 3: true, 7: true, 9: true, 14: true}
+		f.run(2000, 300/1.6, false)
+		f.admitted = nil
+		f.run(10_000, 300*4.7, false)
+		assert.Assert(t, float64(f.most(5000)) <= bound(f.team), "seed %d: %d of %v", seed, f.most(5000), bound(f.team))
+	}
+}
+
+func TestTeamsOfUsualSizeHardlyNoticeThatNodesAreCutOff(t *testing.T) {
+	f := newFleet(15, true, team.Team{Name: "a", Rate: 300, Burst: 300}, 1)
+	f.run(2000, 300/1.6, false)
+	f.cut = map[int]bool{0: true, 3: true}
+	f.refused = 0
+	f.run(10_000, 300/1.6, false)
+	assert.Assert(t, float64(f.refused) < 0.01*10*300/1.6, "%d refused", f.refused)
+}
