--- a/lines/lines.go
+++ b/lines/lines.go
@@ -79,6 +79,7 @@
 	for _, line := range l.ring.Drain(ringLines) {
 		l.write(line)
 	}
+	l.note(l.LeftOut())
 }
 
 // due returns how many lines were left out, if it's time to tell.
@@ -86,18 +87,27 @@
 	if time.Since(l.notedAt) < noteEvery {
 		return 0
 	}
-	l.notedAt = time.Now()
-	return l.LeftOut()
+	n := l.LeftOut()
+	if n > 0 {
+		l.notedAt = time.Now()
+	}
+	return n
 }
 
 // write passes a line on, after the number of those left out before it.
 func (l *Lines) write(line []byte) {
-	if n := l.due(); n > 0 {
-		note, err := json.Marshal(map[string]any{"level": "WARN", "msg": "log: lines left out", "Count": n})
-		if err == nil {
-			_, _ = l.to.Write(append(note, '\n'))
-		}
-	}
+	l.note(l.due())
 	// There's nowhere to tell that the output is closed.
 	_, _ = l.to.Write(line)
 }
+
+// note tells how many lines were left out, if any were.
+func (l *Lines) note(count int64) {
+	if count == 0 {
+		return
+	}
+	note, err := json.Marshal(map[string]any{"level": "WARN", "msg": "log: lines left out", "Count": count})
+	if err == nil {
+		_, _ = l.to.Write(append(note, '\n'))
+	}
+}
