--- a/limit/limit.go
+++ b/limit/limit.go
@@ -29,8 +29,8 @@
 	// slow, so that runs before and during a trial are compared to the same.
 	kindSmoothing = 0.002
 	runSmoothing  = 0.02
-	// longest is by how much one run counts at most, in means of its kind.
-	longest = 4
+	// mostStretch is what one run counts at most, in means of its kind.
+	mostStretch = 4
 )
 
 // Limit learns from the runs of one target. It isn't safe for concurrent use.
@@ -83,7 +83,7 @@
 		s = &l.trial
 	}
 	s.runs++
-	s.sum += min(millis/mean, longest)
+	s.sum += min(millis/mean, mostStretch)
 }
 
 // RunMillis returns how long a run takes, on average.
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -65,11 +65,13 @@
 
 // Entry serves callers. It's safe for many goroutines.
 type Entry struct {
-	clock   clock.Clock
-	words   words.Words
+	clock clock.Clock
+	words words.Words
+	// self is the node's identity among its peers, address the IP number in it.
 	self    string
-	service string
 	address string
+	// service is that of the target beside the node.
+	service string
 	config  func() *config.Config
 	gate    gate
 	hops    *hops.Hops
@@ -82,8 +84,9 @@
 	// registry holds the counters and latencies of requests.
 	registry metrics.Registry
 	mutex    sync.Mutex
-	repeats  map[string]*ratio.Ratio
-	share    float64
+	// repeats holds a budget a service, which earns share with each request.
+	repeats map[string]*ratio.Ratio
+	share   float64
 }
 
 // New returns the entry of the node that peers know as self, beside a target of
@@ -91,13 +94,28 @@
 // a part of its requests.
 func New(
 	c clock.Clock, w words.Words, self, service string, retryRatio float64, conf func() *config.Config,
-	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book, seed uint64, log *slog.Logger, registry metrics.Registry,
+	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book,
+	seed uint64, log *slog.Logger, registry metrics.Registry,
 ) *Entry {
 	address, _, _ := net.SplitHostPort(self)
 	return &Entry{
-		clock: c, words: w, self: self, service: service, address: address, config: conf,
-		gate: g, hops: h, picker: p, screen: s, ration: q, split: split.New(seed), book: b, log: log, registry: registry,
-		repeats: make(map[string]*ratio.Ratio), share: retryRatio * repeatPart,
+		clock:    c,
+		words:    w,
+		self:     self,
+		service:  service,
+		address:  address,
+		config:   conf,
+		gate:     g,
+		hops:     h,
+		picker:   p,
+		screen:   s,
+		ration:   q,
+		split:    split.New(seed),
+		book:     b,
+		log:      log,
+		registry: registry,
+		repeats:  make(map[string]*ratio.Ratio),
+		share:    retryRatio * repeatPart,
 	}
 }
 
@@ -111,7 +129,8 @@
 	team    team.Team
 	trip    trip.Trip
 	version int64
-	// body and what follows it; sendable is false once more was used.
+	// body was read before the request goes on; more sends the rest of a long one,
+	// which can be done once. Length is that of both, or -1.
 	body   []byte
 	more   func(io.Writer) error
 	length int64
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -84,16 +84,16 @@
 	n.ration = ration.New(c, s.FirstStart, seed)
 	n.picker = picker.New(c, s.Centre, seed)
 	n.screen = screen.New(c, seed)
-	across := hops.New(c, n.picker.Load)
 	n.entry = outbnd.New(c, w, s.Peers, s.Service, s.RetryRatio, n.follow.Current,
-		n.gate, across, n.picker, n.screen, n.ration, book, seed, log, n.registry)
+		n.gate, hops.New(c, n.picker.Load), n.picker, n.screen, n.ration, book, seed, log, n.registry)
 	self := card.Card{Peers: s.Peers, Incarnation: time.Now().UnixMilli(), Centre: s.Centre, Hops: s.Hops}
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
 	return n, err
 }
 
-// apply takes a configuration that comes into force.
+// apply takes a configuration that comes into force: keys and routes are read
+// from it by each request, rates are kept apart.
 func (n *Sidecar) apply(c *config.Config) {
 	n.ration.SetTeams(c.Teams())
 }
@@ -205,9 +205,6 @@
 	}
 }
 
-// errStopped ends a server that was stopped as planned.
-var errStopped = http.ErrServerClosed
-
 // serve counts the requests that are being served.
 func (n *Sidecar) serve(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -236,8 +233,9 @@
 	return mux
 }
 
+// failed tells why a port isn't served any more, unless the node stops.
 func (n *Sidecar) failed(what string, err error) {
-	if !errors.Is(err, errStopped) {
+	if !errors.Is(err, http.ErrServerClosed) {
 		n.log.Error("node: a port failed", "Port", what, "Error", err.Error())
 	}
 }
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -38,7 +38,8 @@
 	Idempotent bool
 	// Call says that a target made the request for one that it runs.
 	Call bool
-	// Repeat says that the request, or the one it's a call of, was sent before.
+	// Repeat says that the request, or one above it in the chain, was sent to a
+	// target before.
 	Repeat bool
 }
 
