--- /dev/null
+++ b/outbnd/again_test.go
@@ -0,0 +1,80 @@
+package outbnd
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/output"
+	"bergamotloom.example/ratio"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/route"
+	"bergamotloom.example/trip"
+)
+
+// newRequest returns a request that was offered once, with a second left, and
+// an entry with repeats to spend.
+func newRequest(t *testing.T, idempotent bool) (*Entry, *request) {
+	t.Helper()
+	c, _ := clock.NewManual(1000)
+	e := &Entry{clock: c, repeats: make(map[string]*ratio.Ratio), share: 1}
+	for range savedRepeats {
+		e.budget("stock").first(false)
+	}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)
+	assert.NilError(t, err)
+	return e, &request{
+		Request: r, due: c.Fine() + 1000, tries: 1, route: route.Route{Attempts: 2},
+		trip: trip.Trip{Service: "stock", Idempotent: idempotent},
+	}
+}
+
+func TestOnlyWhatMayRunTwiceIsSentAgainOnceItMayHaveRun(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		e, q := newRequest(t, idempotent)
+		assert.Equal(t, e.again(q, output.Lost(reason.InstanceLost, "")), idempotent)
+		e, q = newRequest(t, idempotent)
+		assert.Equal(t, e.again(q, output.Output{Ran: "Once", Status: http.StatusInternalServerError}), idempotent)
+		// What a target refused has not run.
+		e, q = newRequest(t, idempotent)
+		assert.Assert(t, e.again(q, output.Refused(reason.TargetRefused, "")))
+		assert.Assert(t, q.trip.Repeat)
+	}
+}
+
+func TestNoMoreTargetsThanTheRouteAllows(t *testing.T) {
+	e, q := newRequest(t, true)
+	assert.Assert(t, e.again(q, output.Lost(reason.InstanceLost, "")))
+	assert.Assert(t, !e.again(q, output.Lost(reason.InstanceLost, "")))
+}
+
+func TestRefusalOfAGateCostsNoBudget(t *testing.T) {
+	e, q := newRequest(t, false)
+	before := e.repeats["stock"].Saved()
+	assert.Assert(t, e.again(q, output.Refused(reason.Leaving, "")))
+	assert.Assert(t, !q.trip.Repeat)
+	assert.Equal(t, e.repeats["stock"].Saved(), before)
+	q.tries = offers
+	assert.Assert(t, !e.again(q, output.Refused(reason.Leaving, "")))
+}
+
+func TestNothingIsSentAgainWithoutBudgetTimeOrCause(t *testing.T) {
+	e, q := newRequest(t, true)
+	e.repeats["stock"] = ratio.New(0, 0)
+	assert.Assert(t, !e.again(q, output.Lost(reason.InstanceLost, "")))
+	e, q = newRequest(t, true)
+	q.due = e.clock.Fine() + leastMillis/2
+	assert.Assert(t, !e.again(q, output.Lost(reason.InstanceLost, "")))
+	e, q = newRequest(t, true)
+	assert.Assert(t, !e.again(q, output.Output{Ran: "Once", Status: http.StatusOK}))
+	e, q = newRequest(t, true)
+	assert.Assert(t, !e.again(q, output.Lost(reason.Cancelled, "")))
+}
+
+func TestCallOfARepeatedRunIsNotRepeated(t *testing.T) {
+	e, q := newRequest(t, true)
+	q.trip.Repeat, q.trip.Call = true, true
+	assert.Assert(t, !e.again(q, output.Lost(reason.InstanceLost, "")))
+}
