Remove what nothing calls from picker and conns; name the heartbeats of a silent target by their number

Found by reading the whole change: picker.Has and conns.Close had no caller, and Pick's parameter again was always false. Behaviour is the same.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -71,16 +71,6 @@
 	return p.opened.Load()
 }
 
-// Close closes the idle connections.
-func (p *Conns) Close() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, c := range p.idle {
-		_ = c.Close()
-	}
-	p.idle = nil
-}
-
 // Do sends a request, whose head and body are given as bytes, and waits for
 // the head of its answer, until the context ends or due (a time of the clock,
 // in milliseconds). More sends the rest of a long body. Answers that ours
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -37,7 +37,7 @@
 	// rankMillis is by how much a less important rank is due later.
 	rankMillis = 100
 	// silentBeats is after how many missing heartbeats a target is lost.
-	silentBeats = 3
+	silentBeats = 4
 	// unusedPart of the target's time is the least for which a root is listed.
 	unusedPart = 0.01
 	// forgetPart is the part below which a root is forgotten.
@@ -268,7 +268,7 @@
 		g.log.Info("gate: state", "Target", g.target.Target, "Limit", chosen, "Running", running, "Waiting", waiting,
 			"RunMillis", run, "LineMillis", line, "Arrived", arrived, "Cutoff", g.cutoff.Grades, "Least", g.cutoff.Least, "Failing", g.failing)
 	}
-	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis+g.beatMillis {
+	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis {
 		g.known = false
 		g.queue.Shut()
 		g.log.Warn("gate: target is silent", "Target", g.target.Target, "SinceMillis", now-g.heardAt, "Running", running)
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -251,7 +251,7 @@
 	e.budget(q.trip.Service).first(q.trip.Repeat)
 	var last output.Output
 	for {
-		c, ok := e.picker.Pick(q.trip.Service, tried, false)
+		c, ok := e.picker.Pick(q.trip.Service, tried)
 		if !ok {
 			if q.tries == 0 {
 				return output.Refused(reason.NoInstance, "no instance of "+q.trip.Service+" is known")
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -117,9 +117,9 @@
 }
 
 // Pick returns the card of the instance of the service that shall run the next
-// request, and notes it as sent there. Tried ones are taken only if there's no
-// other and again is true; ok is false if there's none.
-func (p *Picker) Pick(service string, tried map[string]bool, again bool) (c card.Card, ok bool) {
+// request, and notes it as sent there. Those that were tried are left out; ok is
+// false if there's no other.
+func (p *Picker) Pick(service string, tried map[string]bool) (c card.Card, ok bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.clock.Now()
@@ -130,9 +130,6 @@
 		}
 		switch {
 		case tried[n.card.Peers]:
-			if again {
-				poor = append(poor, n)
-			}
 		case now-n.heardAt > silentMillis || now < n.avoidTill:
 			poor = append(poor, n)
 		default:
@@ -228,18 +225,6 @@
 	return float64(n.card.RunMillis)
 }
 
-// Has tells whether any node of the service is known that takes requests.
-func (p *Picker) Has(service string) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, n := range p.services[service] {
-		if n.card.Target != "" && !n.card.Stopping {
-			return true
-		}
-	}
-	return false
-}
-
 // Forget drops a node that's gone for good.
 func (p *Picker) Forget(peer string) {
 	p.mutex.Lock()
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -19,7 +19,7 @@
 func picks(p *picker.Picker, times int) map[string]int {
 	count := make(map[string]int)
 	for range times {
-		c, ok := p.Pick("stock", nil, false)
+		c, ok := p.Pick("stock", nil)
 		if ok {
 			count[c.Peers]++
 			p.Done(c.Peers, true)
@@ -31,12 +31,12 @@
 func TestNoInstanceNoPick(t *testing.T) {
 	c, _ := clock.NewManual(0)
 	p := picker.New(c, "a", 1)
-	_, ok := p.Pick("stock", nil, false)
+	_, ok := p.Pick("stock", nil)
 	assert.Assert(t, !ok)
 	gone := instance("x", "a", 10)
 	gone.Target = ""
 	p.Learn(gone)
-	_, ok = p.Pick("stock", nil, false)
+	_, ok = p.Pick("stock", nil)
 	assert.Assert(t, !ok)
 }
 
@@ -63,7 +63,7 @@
 	// All requests stay open, as under load.
 	count := make(map[string]int)
 	for range 100 {
-		i, _ := p.Pick("stock", nil, false)
+		i, _ := p.Pick("stock", nil)
 		count[i.Peers]++
 	}
 	assert.Assert(t, count["fast"] > 2*count["slow"], "%v", count)
@@ -76,7 +76,7 @@
 	advance(2000)
 	p.Learn(instance("well", "a", 20))
 	assert.DeepEqual(t, picks(p, 50), map[string]int{"well": 50})
-	i, _ := p.Pick("stock", nil, false)
+	i, _ := p.Pick("stock", nil)
 	p.Done(i.Peers, false)
 	both := picks(p, 50)
 	assert.Equal(t, len(both), 2, fmt.Sprint(both))
@@ -86,7 +86,7 @@
 	c, _ := clock.NewManual(0)
 	p := picker.New(c, "a", 1)
 	p.Learn(instance("x", "a", 20))
-	_, ok := p.Pick("stock", map[string]bool{"x": true}, false)
+	_, ok := p.Pick("stock", map[string]bool{"x": true})
 	assert.Assert(t, !ok)
 }
 
