Want a queue that covers the noise of arrivals at targets of few slots

Between two thresholds arrivals vary by +-4, so the queue ran empty and the slots stood idle for up to 38% of a window (trace of the windows beside six busy processes: busy 0.61 to 0.85 in one window of four, queue 0). Ruled out: trials of the limit (none in the trace), the stand-in's own speed (753 to 766 of 800 under the same load).

Now the wanted queue covers two deviations of a window's arrivals, within 0.7 of the room.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -214,6 +214,11 @@
 	if t.Rank == rank.Critical {
 		wait *= criticalQueues
 	}
+	return g.roomFor(wait)
+}
+
+// roomFor returns how many requests start within the milliseconds.
+func (g *Gate) roomFor(wait float64) int {
 	if g.took <= 0 {
 		return leastQueue
 	}
@@ -280,7 +285,7 @@
 	}
 	g.meter.moved(now, g.running)
 	g.limit.judge(g.meter.busy(g.limit.current()))
-	g.plan.judge(&g.meter, &g.fair, g.limit.hoped(), g.running+g.queue.len())
+	g.plan.judge(&g.meter, &g.fair, g.limit.hoped(), g.running+g.queue.len(), g.roomFor(g.queueMillis))
 	g.meter.reset(now)
 }
 
--- a/gate/plan.go
+++ b/gate/plan.go
@@ -17,8 +17,14 @@
 	steadyShare = 0.03
 	// leastBusy is the use of the slots below which no capacity is inferred.
 	leastBusy = 0.1
-	// spareQueue is the wanted queue as a part of the limit.
+	// spareQueue is the least wanted queue as a part of the limit.
 	spareQueue = 0.1
+	// spareNoise is how many standard deviations of a window's arrivals the
+	// wanted queue covers: two cover 95 windows of 100.
+	spareNoise = 2
+	// spareRoom is the most that the wanted queue takes of the room, so that
+	// what comes above it isn't refused at once.
+	spareRoom = 0.7
 	// mendMillis is the time in which the plan wants to bring the number of
 	// requests at the gate to what it should be.
 	mendMillis = 400
@@ -54,17 +60,25 @@
 	return p
 }
 
-// judge takes the window's figures and the number of requests at the gate now.
-func (p *plan) judge(m *meter, s *shares, limit, present int) {
+// judge takes the window's figures, the number of requests at the gate now and
+// how many may wait there.
+func (p *plan) judge(m *meter, s *shares, limit, present, room int) {
 	p.learn(m, m.busy(limit))
 	s.learn()
-	missing := float64(limit)*(1+spareQueue) - float64(present)
+	missing := float64(limit) + p.spare(limit, room) - float64(present)
 	if present < limit {
 		missing *= openFactor
 	}
 	p.divide(max(p.capacity+missing*windowMillis/mendMillis, 0), s)
 }
 
+// spare returns the wanted queue. Between two thresholds the number that
+// arrives varies by about the square root of the number that a window serves;
+// a shorter queue runs empty and leaves slots idle.
+func (p *plan) spare(limit, room int) float64 {
+	return max(float64(limit)*spareQueue, min(spareNoise*math.Sqrt(p.capacity), float64(room)*spareRoom))
+}
+
 // learn takes the window's figures: what ended over the use of the slots is
 // what the target could have done.
 func (p *plan) learn(m *meter, busy float64) {
