Bar late heartbeats of a target that signed off before its first one; refuse requests that crash their targets

Now a leave of an unheard start bars every start before that moment. The new test fails before; a new start under the same ID still opens the gate.

--- a/card/card.go
+++ b/card/card.go
@@ -6,6 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"bergamotloom.example/fact"
 )
 
 // Card is the state of one node at one moment. Of two cards of a node the one
@@ -49,6 +51,8 @@
 	Asked map[uint32]float32 `cbor:"18,keyasint,omitempty"`
 	// Left names the target beside the node that said last that it leaves.
 	Left string `cbor:"19,keyasint,omitempty"`
+	// Facts are what the node tells all others once.
+	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
 
 // Newer tells whether the card is later than the other one of the same node.
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -190,6 +190,20 @@
 	return c, errors.Wrap(err, "connecting")
 }
 
+// Probe opens a connection, which the next request takes, and returns why it
+// couldn't.
+func (p *Conns) Probe(wait time.Duration) error {
+	c, err := p.dial(context.Background(), wait)
+	if err != nil {
+		return err
+	}
+	c.usedAt, c.keepMillis = p.clock.Now(), p.idleMillis
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle = append(p.idle, c)
+	return nil
+}
+
 // quiet tells whether the connection is open and nothing came in on it.
 func (c *conn) quiet() bool {
 	quiet := false
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -17,6 +18,7 @@
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/cutoff"
 	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
@@ -46,6 +48,9 @@
 	leastFailing = 0.001
 	// tellMillis passes between two lines of the gate's state.
 	tellMillis = 1000
+	// probeWait is for how long a probe waits for a connection: a target on the
+	// same instance takes or refuses it within milliseconds.
+	probeWait = 200 * time.Millisecond
 	// sampleSize is how many times a histogram keeps to tell its quantiles.
 	sampleSize = 1024
 	// loadSmoothing and failSmoothing are the weights of new values in means.
@@ -61,6 +66,8 @@
 	pool    *conns.Conns
 	queue   *queue.Queue
 	book    *parent.Book
+	marks   *crash.Marks
+	deaths  *deaths
 	log     *slog.Logger
 	// waits and runs hold how long requests wait and run, in milliseconds.
 	waits metrics.Histogram
@@ -97,7 +104,7 @@
 
 // New returns the gate of the target at the pool's address, which runs this
 // service. It lets nothing in before the target's first heartbeat.
-func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, log *slog.Logger, registry metrics.Registry) *Gate {
+func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, marks *crash.Marks, log *slog.Logger, registry metrics.Registry) *Gate {
 	return &Gate{
 		clock:      c,
 		words:      w,
@@ -105,6 +112,8 @@
 		pool:       pool,
 		queue:      queue.New(c),
 		book:       book,
+		marks:      marks,
+		deaths:     newDeaths(c, marks, log),
 		log:        log,
 		waits:      metrics.GetOrRegisterHistogram("gate.wait.millis", registry, metrics.NewUniformSample(sampleSize)),
 		runs:       metrics.GetOrRegisterHistogram("gate.run.millis", registry, metrics.NewUniformSample(sampleSize)),
@@ -155,9 +164,16 @@
 	ours := func(a *http.Response) bool { return g.ours(a, id) }
 	answer, done, sent, err := g.pool.Do(ctx, r.Method, request, more, ours, due) //nolint:bodyclose // read closes it.
 	if err != nil {
-		return g.broken(ctx, target, due, sent, err)
+		o := g.broken(ctx, target, due, sent, err)
+		if o.Reason == reason.InstanceLost {
+			g.deaths.lost(t.Mark, began)
+		}
+		return o
 	}
 	o := g.read(answer, done)
+	if o.Answered() {
+		g.marks.Answered(t.Mark)
+	}
 	g.ended(t, o, g.clock.Fine()-began)
 	return o
 }
@@ -177,6 +193,17 @@
 	return echo == id || echo == "" && a.Header.Get(g.words.Seal) == ""
 }
 
+// probe finds out whether the target still takes connections.
+func (g *Gate) probe() {
+	target, ok := g.Target()
+	if !ok {
+		return
+	}
+	if err := g.pool.Probe(probeWait); errors.Is(err, syscall.ECONNREFUSED) {
+		g.lose(target, err)
+	}
+}
+
 // broken says what became of a request without an answer.
 func (g *Gate) broken(ctx context.Context, target string, due float64, sent bool, err error) output.Output {
 	switch {
@@ -253,6 +280,10 @@
 
 // Tick adapts the limit and the threshold. It's called ten times a second.
 func (g *Gate) Tick() {
+	g.deaths.tick()
+	if g.deaths.doubt() {
+		go g.probe()
+	}
 	running, waiting := g.queue.Load()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -22,6 +22,9 @@
 		return
 	}
 	started := n.Target != g.target.Target || n.BornMillis != g.target.BornMillis
+	if started {
+		g.deaths.proved()
+	}
 	if started || n.Slots != g.limit.Slots() {
 		g.limit = limit.New(n.Slots)
 		g.failing = 0
@@ -61,7 +64,10 @@
 		return
 	}
 	if _, ok := g.left[target]; !ok {
-		g.left[target] = g.target.BornMillis
+		// Whichever start it was began before now. A later heartbeat of it is a
+		// late one.
+		g.left[target] = g.clock.Now()
+		g.log.Info("gate: target leaves", "Target", target, "How", "has signed off before its first heartbeat here")
 	}
 	g.lastLeft = target
 }
@@ -107,6 +113,7 @@
 	}
 	g.known = false
 	g.queue.Shut()
+	g.deaths.proved()
 	g.log.Warn("gate: target can't be reached", "Target", target, "Error", err.Error())
 }
 
--- a/inbnd/target_test.go
+++ b/inbnd/target_test.go
@@ -9,6 +9,7 @@
 
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/inbnd"
 	"bergamotloom.example/notice"
 	"bergamotloom.example/parent"
@@ -17,7 +18,7 @@
 
 func newGate() (*inbnd.Gate, func(float64)) {
 	c, advance := clock.NewManual(1_000_000)
-	g := inbnd.New(c, words.Words{}, "stock", 1500, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	g := inbnd.New(c, words.Words{}, "stock", 1500, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), crash.New(c, "self", func(string, int64, []byte, int64) {}), slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	return g, advance
 }
 
@@ -54,6 +55,19 @@
 	ready(t, g, "new")
 }
 
+// A node that has just started may hear that a target leaves before it has
+// heard any heartbeat of it.
+func TestLeaveOfATargetNotHeardYetBarsItsLateHeartbeats(t *testing.T) {
+	g, advance := newGate()
+	g.Leave("a")
+	advance(2700)
+	g.Hear(beat("a", 999_000, 15))
+	ready(t, g, "")
+	// The same ID, started again.
+	g.Hear(beat("a", 1_001_000, 1))
+	ready(t, g, "a")
+}
+
 func TestLeaveIsKept(t *testing.T) {
 	g, _ := newGate()
 	g.Hear(beat("a", 100, 1))
--- a/outbnd/again.go
+++ b/outbnd/again.go
@@ -55,6 +55,9 @@
 		return q.tries < offers && (o.Reason == reason.NoInstance || o.Reason == reason.Leaving || o.Reason == reason.Overloaded)
 	}
 	q.sends++
+	if _, refused := e.marks.Refuses(q.trip.Mark); refused {
+		return false
+	}
 	if q.trip.Repeat && q.trip.Call {
 		// The whole chain above is a repeat already.
 		return false
--- a/outbnd/again_test.go
+++ b/outbnd/again_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"bergamotloom.example/clock"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/output"
 	"bergamotloom.example/ratio"
 	"bergamotloom.example/reason"
@@ -19,7 +20,7 @@
 func newRequest(t *testing.T, idempotent bool) (*Entry, *request) {
 	t.Helper()
 	c, _ := clock.NewManual(1000)
-	e := &Entry{clock: c, repeats: make(map[string]*ratio.Ratio), share: 1}
+	e := &Entry{clock: c, marks: crash.New(c, "self", func(string, int64, []byte, int64) {}), repeats: make(map[string]*ratio.Ratio), share: 1}
 	for range savedRepeats {
 		e.budget("stock").first(false)
 	}
@@ -44,6 +45,37 @@
 	}
 }
 
+func TestWhatCrashedItsTargetsIsNeitherSentNorSentAgain(t *testing.T) {
+	e, q := newRequest(t, true)
+	q.Header.Set("Authorization", "Bearer k")
+	_, ok := e.harmless(q)
+	assert.Assert(t, ok)
+	e.marks.Crashed([]string{q.trip.Mark})
+	_, ok = e.harmless(q)
+	assert.Assert(t, ok)
+	e.marks.Crashed([]string{q.trip.Mark, "another"})
+	assert.Assert(t, !e.again(q, output.Lost(reason.InstanceLost, "")))
+	o, ok := e.harmless(q)
+	assert.Assert(t, !ok)
+	assert.Equal(t, o.Reason, reason.CrashSuspect)
+	assert.Assert(t, o.RetryAfterMillis > 0)
+	// Another caller's request on the same path passes, as does one with a body.
+	q.Header.Set("Authorization", "Bearer l")
+	_, ok = e.harmless(q)
+	assert.Assert(t, ok)
+	q.Header.Set("Authorization", "Bearer k")
+	q.body = []byte("x")
+	_, ok = e.harmless(q)
+	assert.Assert(t, ok)
+	// One that was answered is harmless.
+	q.body = nil
+	_, ok = e.harmless(q)
+	assert.Assert(t, !ok)
+	e.marks.Answered(q.trip.Mark)
+	_, ok = e.harmless(q)
+	assert.Assert(t, ok)
+}
+
 func TestNoMoreTargetsThanTheRouteAllows(t *testing.T) {
 	e, q := newRequest(t, true)
 	assert.Assert(t, e.again(q, output.Lost(reason.InstanceLost, "")))
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -18,6 +18,7 @@
 
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/hops"
@@ -80,6 +81,7 @@
 	ration  *ration.Ration
 	split   *split.Split
 	book    *parent.Book
+	marks   *crash.Marks
 	log     *slog.Logger
 	// registry holds the counters and latencies of requests.
 	registry metrics.Registry
@@ -94,7 +96,7 @@
 // a part of its requests.
 func New(
 	c clock.Clock, w words.Words, self, service string, retryRatio float64, conf func() *config.Config,
-	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book,
+	g gate, h *hops.Hops, p *picker.Picker, s *screen.Screen, q *ration.Ration, b *parent.Book, marks *crash.Marks,
 	seed uint64, log *slog.Logger, registry metrics.Registry,
 ) *Entry {
 	address, _, _ := net.SplitHostPort(self)
@@ -112,6 +114,7 @@
 		ration:   q,
 		split:    split.New(seed),
 		book:     b,
+		marks:    marks,
 		log:      log,
 		registry: registry,
 		repeats:  make(map[string]*ratio.Ratio),
@@ -174,6 +177,9 @@
 	if peeked.Gone(q.Request) {
 		return output.Refused(reason.Cancelled, "the caller has gone")
 	}
+	if o, ok := e.harmless(q); !ok {
+		return o
+	}
 	e.clean(q.Header)
 	q.trip.Service = e.split.Next(q.route)
 	return e.send(q)
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -19,6 +19,8 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
 	"bergamotloom.example/conns"
+	"bergamotloom.example/crash"
+	"bergamotloom.example/facts"
 	"bergamotloom.example/feed"
 	"bergamotloom.example/follow"
 	"bergamotloom.example/hops"
@@ -60,7 +62,9 @@
 	ration *ration.Ration
 	picker *picker.Picker
 	screen *screen.Screen
-	pool   *conns.Conns
+	// facts tells all nodes which requests crash targets.
+	facts *facts.Facts
+	pool  *conns.Conns
 	// registry holds what the metrics port serves.
 	registry metrics.Registry
 
@@ -80,13 +84,16 @@
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.watches)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
 	book := parent.New(c, w.CallMark)
-	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, log, n.registry)
+	self := card.Card{Peers: s.Peers, Incarnation: time.Now().UnixMilli(), Centre: s.Centre, Hops: s.Hops}
+	var marks *crash.Marks
+	n.facts = facts.New(c, func(key string, value []byte) { marks.OnFact(key, value) })
+	marks = crash.New(c, s.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), n.facts.Publish)
+	n.gate = inbnd.New(c, w, s.Service, s.HeartbeatMillis, n.pool, book, marks, log, n.registry)
 	n.ration = ration.New(c, s.FirstStart, seed)
 	n.picker = picker.New(c, s.Centre, seed)
 	n.screen = screen.New(c, seed)
 	n.entry = outbnd.New(c, w, s.Peers, s.Service, s.RetryRatio, n.follow.Current,
-		n.gate, hops.New(c, n.picker.Load), n.picker, n.screen, n.ration, book, seed, log, n.registry)
-	self := card.Card{Peers: s.Peers, Incarnation: time.Now().UnixMilli(), Centre: s.Centre, Hops: s.Hops}
+		n.gate, hops.New(c, n.picker.Load), n.picker, n.screen, n.ration, book, marks, seed, log, n.registry)
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
 	return n, err
@@ -101,7 +108,7 @@
 // describe returns the node's card.
 func (n *Sidecar) describe() card.Card {
 	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version()}
-	c = n.ration.Describe(n.gate.Describe(c))
+	c = n.facts.Describe(n.ration.Describe(n.gate.Describe(c)))
 	own := c
 	own.Peers, own.Centre, own.Hops = n.siting.Peers, n.siting.Centre, n.siting.Hops
 	n.picker.Learn(own)
@@ -117,12 +124,14 @@
 	n.picker.Learn(c)
 	n.screen.Learn(c)
 	n.ration.Learn(c)
+	n.facts.Learn(c)
 }
 
 func (n *Sidecar) forget(peer string) {
 	n.picker.Forget(peer)
 	n.screen.Forget(peer)
 	n.ration.Forget(peer)
+	n.facts.Forget(peer)
 }
 
 // Hear takes a heartbeat of the target.
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -29,6 +29,8 @@
 	Team string
 	// Origin is the service beside which the request began.
 	Origin string
+	// Mark is the same for requests with the same path, caller and body.
+	Mark string
 	// LeftMillis is the time left for the answer.
 	LeftMillis float64
 	// GoalMillis is the time left in which the root's answer is worth most; it's
@@ -43,7 +45,7 @@
 	Repeat bool
 }
 
-const fieldCount = 8
+const fieldCount = 9
 
 // Encode returns the trip as the value of its header.
 func (t Trip) Encode() string {
@@ -66,6 +68,7 @@
 		strconv.FormatFloat(t.LeftMillis, 'f', 1, 64),
 		strconv.FormatFloat(t.GoalMillis, 'f', 1, 64),
 		flags,
+		url.QueryEscape(t.Mark),
 	}, ",")
 }
 
@@ -75,8 +78,8 @@
 	if len(f) != fieldCount {
 		return Trip{}, errors.Errorf("trip: %d fields instead of %d", len(f), fieldCount)
 	}
-	var names [4]string
-	for i, at := range []int{0, 2, 3, 4} {
+	var names [5]string
+	for i, at := range []int{0, 2, 3, 4, 8} {
 		name, err := url.QueryUnescape(f[at])
 		if err != nil {
 			return Trip{}, errors.Wrap(err, "trip")
@@ -95,6 +98,7 @@
 		Service:    names[1],
 		Team:       names[2],
 		Origin:     names[3],
+		Mark:       names[4],
 		LeftMillis: left,
 		GoalMillis: goal,
 		Idempotent: strings.Contains(f[7], "i"),
