--- a/passer/attempt.go
+++ b/passer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -22,7 +23,6 @@
 	cancel   context.CancelCauseFunc
 	envelope envel.Envelope
 	held     *heldBody
-	silenced *sync.Map
 
 	connected atomic.Bool
 	mutex     sync.Mutex
@@ -109,22 +109,20 @@
 	if a.conn == nil {
 		return
 	}
-	conn := a.conn
-	a.silenced.Store(conn, true)
-	time.AfterFunc(rememberMillis*time.Millisecond, func() { a.silenced.Delete(conn) })
-	_ = conn.Close()
+	_ = a.conn.Close()
 }
 
-// onSilenced tells whether the attempt's connection was closed because another
-// attempt found it silent.
-func (a *attempt) onSilenced() bool {
+// onSilent tells whether the attempt's connection was given up by this side,
+// by another attempt or by the transport's pings.
+func (a *attempt) onSilent() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.conn == nil {
+	secure, ok := a.conn.(*tls.Conn)
+	if !ok {
 		return false
 	}
-	_, ok := a.silenced.Load(a.conn)
-	return ok
+	w, ok := secure.NetConn().(*watched)
+	return ok && w.silent()
 }
 
 // heldBody is a request body that waits for the gate's admission. Its first
--- a/passer/passer.go
+++ b/passer/passer.go
@@ -19,7 +19,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
@@ -48,8 +47,6 @@
 	pingAfterMillis   = 500
 	pingTimeoutMillis = 500
 	idleConnMillis    = 90_000
-	// rememberMillis is how long a connection is remembered as silent.
-	rememberMillis = 2000
 )
 
 // Confirmation is the first byte of a confirmed body.
@@ -69,9 +66,6 @@
 type Passer struct {
 	clock     clock.Clock
 	transport *http.Transport
-	// silenced holds the connections that were closed because they were
-	// silent, so that their other requests know why they broke off.
-	silenced sync.Map
 }
 
 // New returns a passer that shows the fleet's certificate to its peers.
@@ -85,7 +79,13 @@
 			Protocols:           protocols,
 			TLSClientConfig:     secret.ClientTLS("h2"),
 			TLSHandshakeTimeout: dialTimeoutMillis * time.Millisecond,
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return watch(conn, c), nil
+			},
 			DisableCompression:  true,
 			IdleConnTimeout:     idleConnMillis * time.Millisecond,
 			HTTP2: &http.HTTP2Config{
@@ -106,7 +106,6 @@
 // fit to be forwarded) and body. The caller closes a served answer.
 func (p *Passer) Pass(ctx context.Context, peer string, e envel.Envelope, r *http.Request) reply.Reply {
 	a := newAttempt(ctx, e, r)
-	a.silenced = &p.silenced
 	out := a.request(peer, r)
 	start := p.clock.Fine()
 	a.watch()
@@ -164,7 +163,7 @@
 	a.cancel(errAbandoned)
 	got := reply.Refuse(refuse.New(why).WithRan(ran))
 	got.Gone = gone
-	got.Silent = errors.Is(context.Cause(a.context), errSilent) || a.onSilenced()
+	got.Silent = errors.Is(context.Cause(a.context), errSilent) || a.onSilent()
 	got.Broke = ran != runst.Never && !got.Silent && ctx.Err() == nil
 	if ran == runst.Never {
 		// Nobody took up the lent allowance.
--- /dev/null
+++ b/passer/silent_test.go
@@ -0,0 +1,94 @@
+package passer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/envel"
+	"bergamotloom.example/passer"
+	"bergamotloom.example/relay"
+	"bergamotloom.example/reply"
+	"bergamotloom.example/runst"
+	"bergamotloom.example/secret"
+)
+
+// serve starts a peer that runs the handler, and returns a relay before it.
+func serve(t *testing.T, s *secret.Secret, h http.HandlerFunc) *relay.Relay {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: h, TLSConfig: s.ServerTLS("h2"), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.ServeTLS(l, "", "") }()
+	t.Cleanup(func() { _ = server.Close() })
+	r, err := relay.New("127.0.0.1:0", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func newPasser(t *testing.T) (*passer.Passer, *secret.Secret) {
+	t.Helper()
+	s, err := secret.New([]byte(strings.Repeat("a", secret.MinBytes)))
+	assert.NilError(t, err)
+	p := passer.New(clock.New(), s)
+	t.Cleanup(p.Close)
+	return p, s
+}
+
+func pass(ctx context.Context, t *testing.T, p *passer.Passer, r *relay.Relay) reply.Reply {
+	t.Helper()
+	out, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://peer/", http.NoBody)
+	assert.NilError(t, err)
+	got := p.Pass(ctx, r.Address(), envel.Envelope{Idempotent: true}, out)
+	if got.Body != nil {
+		assert.NilError(t, got.Body.Close())
+	}
+	return got
+}
+
+// A request that begins on a connection which the transport's pings are about
+// to find silent isn't taken for one that lost its instance.
+func TestConnectionThatPingsFindSilentCountsAsSilent(t *testing.T) {
+	p, s := newPasser(t)
+	r := serve(t, s, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	assert.Assert(t, pass(t.Context(), t, p, r).Served())
+	r.Do(relay.Silence)
+	// The pings give up after 1,000 ms.
+	time.Sleep(800 * time.Millisecond)
+	began := time.Now()
+	got := pass(t.Context(), t, p, r)
+	assert.Assert(t, time.Since(began) < passer.SilenceMillis*time.Millisecond, "the pings were late")
+	assert.Assert(t, !got.Served())
+	assert.Assert(t, got.Silent)
+	assert.Assert(t, !got.Broke)
+	assert.Equal(t, got.Refusal.Ran, runst.Maybe)
+}
+
+// A peer that ends the connection, or the request alone, has lost it.
+func TestPeerThatEndsARequestIsNotSilent(t *testing.T) {
+	p, s := newPasser(t)
+	var r *relay.Relay
+	r = serve(t, s, func(_ http.ResponseWriter, q *http.Request) {
+		if q.Header.Get("How") == "reset" {
+			panic(http.ErrAbortHandler)
+		}
+		r.Do(relay.Reset)
+		<-q.Context().Done()
+	})
+	for _, how := range []string{"reset", "cut"} {
+		out, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://peer/", http.NoBody)
+		assert.NilError(t, err)
+		out.Header.Set("How", how)
+		got := p.Pass(t.Context(), r.Address(), envel.Envelope{Idempotent: true}, out)
+		assert.Assert(t, !got.Served())
+		assert.Assert(t, !got.Silent, how)
+		assert.Assert(t, got.Broke, how)
+	}
+}
