--- a/passer/passer.go
+++ b/passer/passer.go
@@ -86,8 +86,8 @@
 				}
 				return watch(conn, c), nil
 			},
-			DisableCompression:  true,
-			IdleConnTimeout:     idleConnMillis * time.Millisecond,
+			DisableCompression: true,
+			IdleConnTimeout:    idleConnMillis * time.Millisecond,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: pingAfterMillis * time.Millisecond,
 				PingTimeout:     pingTimeoutMillis * time.Millisecond,
