Keep one row a node of targets that left, and remove the rows of nodes that have gone

Rows in Nodes and Left were never removed: each leave and each address that was ever in use stayed in the store. Now a node keeps the last target that left beside it in one row under its own address, renews its own row every 5 to 10 minutes, and the few nodes that watch the store remove rows that were not renewed for six hours.

--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,7 +17,8 @@
 const (
 	// nodesTable lists the nodes by the addresses at which peers reach them.
 	nodesTable = "Nodes"
-	// leftTable lists the targets that have left, with their start times.
+	// leftTable holds the target that left last beside each node, by the node's
+	// address.
 	leftTable  = "Left"
 	configPath = "/loom/config"
 	// joinPause to mostJoinPause pass between two tries to reach the store.
@@ -43,17 +44,23 @@
 // join writes the node into the store and reads who else is there.
 func (n *Sidecar) join(ctx context.Context) {
 	n.addSeeds()
-	n.retry(ctx, "the node's row", func() error {
-		return n.store.Put(ctx, nodesTable, n.siting.Peers, []byte(n.siting.Name))
-	})
+	n.retry(ctx, "the node's row", func() error { return n.writeNode(ctx) })
 	if !n.siting.FirstStart {
-		n.retry(ctx, "the targets that left", func() error { return n.readLeft(ctx) })
+		n.retry(ctx, "the target that left", func() error { return n.readLeft(ctx) })
 	}
 	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
 	n.sleep(ctx, settlePause)
 	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
+	renewAt := n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
 	for ctx.Err() == nil {
 		n.sleep(ctx, rereadPause+rand.N(rereadPause))
+		if n.clock.Now() >= renewAt {
+			renewAt = n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
+			n.retry(ctx, "the node's row", func() error { return n.writeNode(ctx) })
+			if n.watches() {
+				n.retry(ctx, "rows of nodes that have gone", func() error { return n.removeStale(ctx) })
+			}
+		}
 		if known, heard := n.mesh.Heard(); heard*2 < known {
 			n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
 		}
@@ -89,12 +96,15 @@
 func (n *Sidecar) readLeft(ctx context.Context) error {
 	rows, _, err := n.store.Rows(ctx, leftTable)
 	for _, r := range rows {
-		born, errBorn := strconv.ParseInt(string(r.Value), 10, 64)
-		if errBorn != nil {
-			n.log.Warn("node: a row of a target that left can't be read", "Target", r.Key, "Error", errBorn.Error())
+		if r.Key != n.siting.Peers {
+			continue
+		}
+		var row leftRow
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			n.log.Warn("node: the row of the target that left can't be read", "Row", string(r.Value), "Error", err.Error())
 			continue
 		}
-		n.gate.Forget(r.Key, born)
+		n.gate.Forget(row.Target, row.BornMillis)
 	}
 	return err
 }
@@ -104,8 +114,7 @@
 func (n *Sidecar) keepLeave(ctx context.Context, target string) {
 	ctx, cancel := context.WithTimeout(ctx, keepWait)
 	defer cancel()
-	born := strconv.FormatInt(n.gate.Born(target), 10)
-	if err := n.store.Put(ctx, leftTable, target, []byte(born)); err != nil {
+	if err := n.store.Put(ctx, leftTable, n.siting.Peers, mustJSON(leftRow{target, n.gate.Born(target)})); err != nil {
 		n.log.Warn("node: the store doesn't remember a target that leaves", "Target", target, "Error", err.Error())
 	}
 }
