--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -20,7 +20,7 @@
 	"bergamotloom.example/conns"
 	"bergamotloom.example/crash"
 	"bergamotloom.example/cutoff"
-	"bergamotloom.example/grade"
+	"bergamotloom.example/demand"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/limit"
 	"bergamotloom.example/notice"
@@ -42,8 +42,6 @@
 	silentBeats = 4
 	// unusedPart of the target's time is the least for which a root is listed.
 	unusedPart = 0.01
-	// forgetPart is the part below which a root is forgotten.
-	forgetPart = 0.001
 	// leastFailing is the part of failing runs that counts as none.
 	leastFailing = 0.001
 	// tellMillis passes between two lines of the gate's state.
@@ -53,8 +51,7 @@
 	probeWait = 200 * time.Millisecond
 	// sampleSize is how many times a histogram keeps to tell its quantiles.
 	sampleSize = 1024
-	// loadSmoothing and failSmoothing are the weights of new values in means.
-	loadSmoothing = 0.3
+	// failSmoothing is the weight of a new run in the mean of those that fail.
 	failSmoothing = 0.05
 )
 
@@ -88,20 +85,10 @@
 	pacer    *pacer.Pacer
 	cutoff   cutoff.Cutoff
 	failing  float64
-	work     work
+	demand   *demand.Demand
 	toldAt   int64
 }
 
-// work is what arrived since the last tick.
-type work struct {
-	at      float64
-	arrived [grade.Count]float64
-	roots   map[string]float64
-	// uses is the part of the work that each root makes, a mean over some
-	// ticks.
-	uses map[string]float64
-}
-
 // New returns the gate of the target at the pool's address, which runs this
 // service. It lets nothing in before the target's first heartbeat.
 func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, marks *crash.Marks, log *slog.Logger, registry metrics.Registry) *Gate {
@@ -122,7 +109,7 @@
 		limit:      limit.New(1),
 		pacer:      pacer.New(),
 		cutoff:     cutoff.Full(),
-		work:       work{at: c.Fine(), roots: make(map[string]float64), uses: make(map[string]float64)},
+		demand:     demand.New(c.Fine()),
 	}
 }
 
@@ -247,9 +234,7 @@
 func (g *Gate) arrived(t trip.Trip) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	run := g.limit.RunMillis()
-	g.work.arrived[t.Grade] += run
-	g.work.roots[t.Root] += run
+	g.demand.Arrived(t.Grade, t.Root, g.limit.RunMillis())
 }
 
 // ended takes in how a run went.
@@ -291,7 +276,7 @@
 	chosen := g.limit.Choose(waiting > 0, now)
 	run := g.limit.RunMillis()
 	g.queue.SetLimit(chosen, run)
-	arrived := g.work.tick(g.clock.Fine(), float64(chosen))
+	arrived := g.demand.Tick(g.clock.Fine(), float64(chosen))
 	line := float64(waiting) * run / float64(chosen)
 	g.cutoff = g.pacer.Step(arrived, line)
 	if now-g.toldAt >= tellMillis && (running > 0 || !g.cutoff.IsFull()) {
@@ -306,40 +291,6 @@
 	}
 }
 
-// tick returns what arrived since the last one of each grade, in parts of what
-// limit requests at a time can get done.
-func (w *work) tick(now, limit float64) [grade.Count]float64 {
-	passed := max(now-w.at, 1)
-	parts := w.arrived
-	sum := 0.0
-	for i, a := range w.arrived {
-		sum += a
-		parts[i] = a / (passed * limit)
-	}
-	if sum > 0 {
-		w.learn(sum)
-	}
-	clear(w.roots)
-	w.arrived = [grade.Count]float64{}
-	w.at = now
-	return parts
-}
-
-// learn updates the roots' parts of the work.
-func (w *work) learn(sum float64) {
-	for root := range w.roots {
-		if _, ok := w.uses[root]; !ok {
-			w.uses[root] = 0
-		}
-	}
-	for root, part := range w.uses {
-		w.uses[root] += (w.roots[root]/sum - part) * loadSmoothing
-		if w.uses[root] < forgetPart {
-			delete(w.uses, root)
-		}
-	}
-}
-
 // Describe adds the gate's state to the node's card.
 func (g *Gate) Describe(c card.Card) card.Card {
 	running, waiting := g.queue.Load()
@@ -355,8 +306,8 @@
 	c.RunMillis = float32(g.limit.RunMillis())
 	c.Failing = float32(g.failing)
 	c.Cutoff, c.Least = float32(g.cutoff.Grades), float32(g.cutoff.Least)
-	c.Uses = make(map[uint32]float32, len(g.work.uses))
-	for root, part := range g.work.uses {
+	c.Uses = make(map[uint32]float32)
+	for root, part := range g.demand.Uses() {
 		if part >= unusedPart {
 			c.Uses[card.Hash(root)] = float32(part)
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -35,7 +35,7 @@
 	order  float64
 	serial int64
 	due    float64
-	begin  chan reason.Reason
+	begin  func(reason.Reason)
 	at     int
 }
 
@@ -43,30 +43,43 @@
 // goes first; one that couldn't end before due is refused. The reason is empty
 // if the request may run: then Leave must be called when it has ended.
 func (q *Queue) Enter(ctx context.Context, order, due float64) reason.Reason {
+	begun := make(chan reason.Reason, 1)
+	w, r := q.offer(order, due, func(r reason.Reason) { begun <- r })
+	if w == nil {
+		return r
+	}
+	select {
+	case r := <-begun:
+		return r
+	case <-ctx.Done():
+		return q.giveUp(w, begun)
+	}
+}
+
+// Offer is Enter for those who can't wait. If the request waits, begin is called
+// once with the outcome, later and with the queue locked.
+func (q *Queue) Offer(order, due float64, begin func(reason.Reason)) (r reason.Reason, waits bool) {
+	w, r := q.offer(order, due, begin)
+	return r, w != nil
+}
+
+func (q *Queue) offer(order, due float64, begin func(reason.Reason)) (*waiter, reason.Reason) {
 	q.mutex.Lock()
+	defer q.mutex.Unlock()
 	if !q.open {
-		q.mutex.Unlock()
-		return reason.Leaving
+		return nil, reason.Leaving
 	}
 	if q.running < q.limit && len(q.waiting) == 0 {
 		q.running++
-		q.mutex.Unlock()
-		return ""
+		return nil, ""
 	}
 	if q.clock.Fine()+q.waitMillis(order)+q.runMillis > due {
-		q.mutex.Unlock()
-		return reason.Overloaded
+		return nil, reason.Overloaded
 	}
 	q.serial++
-	w := &waiter{order: order, serial: q.serial, due: due, begin: make(chan reason.Reason, 1)}
+	w := &waiter{order: order, serial: q.serial, due: due, begin: begin}
 	heap.Push(&q.waiting, w)
-	q.mutex.Unlock()
-	select {
-	case r := <-w.begin:
-		return r
-	case <-ctx.Done():
-		return q.giveUp(w)
-	}
+	return w, ""
 }
 
 // waitMillis estimates how long a request with this order would wait.
@@ -83,14 +96,14 @@
 	return float64(ahead) * q.runMillis / float64(q.limit)
 }
 
-func (q *Queue) giveUp(w *waiter) reason.Reason {
+func (q *Queue) giveUp(w *waiter, begun <-chan reason.Reason) reason.Reason {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if w.at >= 0 {
 		heap.Remove(&q.waiting, w.at)
 		return reason.Cancelled
 	}
-	if r := <-w.begin; r != "" {
+	if r := <-begun; r != "" {
 		return r
 	}
 	// It was let in at the moment when its caller left.
@@ -130,7 +143,7 @@
 	defer q.mutex.Unlock()
 	q.open = false
 	for len(q.waiting) > 0 {
-		q.pop().begin <- reason.Leaving
+		q.pop().begin(reason.Leaving)
 	}
 }
 
@@ -147,11 +160,11 @@
 	for q.open && q.running < q.limit && len(q.waiting) > 0 {
 		w := q.pop()
 		if now+q.runMillis/2 > w.due {
-			w.begin <- reason.Overloaded
+			w.begin(reason.Overloaded)
 			continue
 		}
 		q.running++
-		w.begin <- ""
+		w.begin("")
 	}
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -104,3 +104,25 @@
 	q.SetLimit(2, 10)
 	assert.Equal(t, <-waits, reason.Reason(""))
 }
+
+func TestOfferTellsLaterWhenTheRequestMayRun(t *testing.T) {
+	q, _ := open(t, 1, 10)
+	var began []string
+	note := func(name string) func(reason.Reason) {
+		return func(r reason.Reason) { began = append(began, name+string(r)) }
+	}
+	r, waits := q.Offer(1, 1000, note("first"))
+	assert.Assert(t, r == "" && !waits)
+	for _, w := range []struct {
+		name  string
+		order float64
+	}{{"late", 9}, {"early", 5}} {
+		r, waits = q.Offer(w.order, 1000, note(w.name))
+		assert.Assert(t, r == "" && waits)
+	}
+	r, waits = q.Offer(1, 5, note("hopeless"))
+	assert.Assert(t, r == reason.Overloaded && !waits)
+	q.Leave()
+	q.Shut()
+	assert.DeepEqual(t, began, []string{"early", "late" + string(reason.Leaving)})
+}
