--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -38,6 +38,9 @@
 	refusalBytes = 64 << 10
 	// rankMillis is by how much a less important rank is due later.
 	rankMillis = 100
+	// overdueMillis is how far off the objective of a request counts that has
+	// missed it: several waits in a line of usual length.
+	overdueMillis = 150
 	// silentBeats is after how many missing heartbeats a target is lost.
 	silentBeats = 4
 	// unusedPart of the target's time is the least for which a root is listed.
@@ -123,7 +126,7 @@
 		return output.Refused(reason.NoInstance, "no target of the service here")
 	}
 	due := began + t.LeftMillis
-	order := began + t.GoalMillis + float64(t.Grade.Route())*rankMillis
+	order := began + turnMillis(t)
 	if why := g.queue.Enter(ctx, order, due); why != "" {
 		return output.Refused(why, "at the gate")
 	}
@@ -165,6 +168,19 @@
 	return o
 }
 
+// turnMillis is in how long a request should begin, by which the gate orders
+// those that wait. Calls go by the objective of the caller's request, so that a
+// chain that began earlier waits once and not at each of its calls. One that has
+// missed its objective goes after those that can still meet theirs: else, when
+// the line has grown long once, late requests make all others late too.
+func turnMillis(t trip.Trip) float64 {
+	goal := t.GoalMillis
+	if goal < 0 {
+		goal = overdueMillis
+	}
+	return goal + float64(t.Grade.Route())*rankMillis
+}
+
 // addHeaders sets what the dialect lets nodes say to a target.
 func (g *Gate) addHeaders(h http.Header, t trip.Trip, target string, leftMillis float64) {
 	h.Del(trip.Header)
