--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 test: lint build
 	@grep -E '^Test' KNOWN-RED.txt | sed 's/^/known red, passed over: /' || true
 	go test -race -timeout 20m $(SKIP) $(filter-out $(PROCESSES),$(shell go list ./...))
-	go test -timeout 20m $(SKIP) ./bench
+	go test -timeout 20m $(SKIP) ./bench ./chain
 	go test -race -count=1 -p 1 -timeout 20m $(SKIP) $(PROCESSES)
 
 demo: build
--- a/chain/call.go
+++ b/chain/call.go
@@ -141,7 +141,7 @@
 	n.demand.Arrived(c.try.grade, c.try.root, n.limit.RunMillis())
 	due := w.loop.Now()
 	if w.policy.chains {
-		due += turnMillis(c.try.goal-due, c.try.grade)
+		due += turnMillis(c.try.goal-due, c.try.grade, w.policy.overdue)
 	}
 	why, waits := n.queue.Offer(due, c.try.due, func(why reason.Reason) {
 		w.loop.After(0, func() { j.settled(why) })
@@ -152,8 +152,8 @@
 }
 
 // turnMillis is that of the gate (package inbnd).
-func turnMillis(goalMillis float64, g grade.Grade) float64 {
-	if goalMillis < 0 {
+func turnMillis(goalMillis float64, g grade.Grade, overdue bool) float64 {
+	if overdue && goalMillis < 0 {
 		goalMillis = overdueMillis
 	}
 	return goalMillis + float64(g.Route())*rankMillis
--- a/chain/policy.go
+++ b/chain/policy.go
@@ -11,6 +11,8 @@
 	// chains lets calls go by the objective of the caller's request, in place
 	// of the order in which they come to the gate.
 	chains bool
+	// overdue lets those that have missed their objective go after the others.
+	overdue bool
 }
 
 func controls() []policy {
@@ -18,6 +20,7 @@
 		{name: "none", help: "no control: a random instance, and the targets' own queues"},
 		{name: "gates", help: "gates that bound what runs, in the order of arrival", gates: true},
 		{name: "screen", help: "gates in the order of arrival, whose thresholds go back to the entries", gates: true, screen: true},
-		{name: "loom", help: "this version: thresholds, and the order of the callers' objectives", gates: true, screen: true, chains: true},
+		{name: "before", help: "thresholds, and the order of the callers' objectives", gates: true, screen: true, chains: true},
+		{name: "loom", help: "this version: the same, but those that have missed their objective go last", gates: true, screen: true, chains: true, overdue: true},
 	}
 }
--- a/chain/tally.go
+++ b/chain/tally.go
@@ -52,14 +52,14 @@
 	t.asked[k.name]++
 	t.worth += worth
 	t.could += k.worth
-	switch {
-	case o == served:
+	switch o {
+	case served:
 		t.answered[k.name]++
 		t.took = append(t.took, now-e.sentAt)
 		if late {
 			t.late++
 		}
-	case o == refused:
+	case refused:
 		t.refused++
 	default:
 		t.failed++
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -46,6 +46,7 @@
 		keyVerb(),
 		demoVerb(),
 		benchVerb(),
+		chainsVerb(),
 		loadVerb(),
 		overheadVerb(),
 		slopesVerb(),
