Add a fault soak of nodes as processes with stand-ins of the platform

bergamotloom soak SEED...: kills, planned stops, freezes, signals, a store that is busy, silent, slow, loses answers or history, connections reset or silent, servers that crash, leave and come back, keys that change, in overlapping series; checks TWICE, REFUSED, MIXED, DRAIN, DENIED, STOP, EXIT, RECOVER and answers in time. Clocks that jump aren't among the faults: without root a process can't be given another clock.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # Tests with processes, or with whole nodes, run one package after another and after the rest, so
 # that they have the machine for themselves, as their bounds in time need it.
-PROCESSES := bergamotloom.example/fleet bergamotloom.example/verbs bergamotloom.example/platform
+PROCESSES := bergamotloom.example/fleet bergamotloom.example/verbs bergamotloom.example/platform bergamotloom.example/platform/soak
 
 # Tests listed in KNOWN-RED.txt are passed over, and printed.
 RED := $(shell grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt | paste -sd'|')
@@ -38,4 +38,5 @@
 measures: build
 	bin/bergamotloom bench worst --size paddle --plot docs/measures/worst-paddle.svg >/dev/null
 	bin/bergamotloom bench worst --size lapacho --plot docs/measures/worst-lapacho.svg >/dev/null
-	{ cat docs/measures/intro.md; bin/bergamotloom bench; } >docs/MEASURES.md
+	bin/bergamotloom chains lost --plot docs/measures/chains-lost.svg >/dev/null
+	{ cat docs/measures/intro.md; bin/bergamotloom bench; cat docs/measures/chains.md; bin/bergamotloom chains; } >docs/MEASURES.md
--- a/proc/proc.go
+++ b/proc/proc.go
@@ -46,34 +46,35 @@
 	return jobs
 })
 
-// Start starts the binary, with its standard error in the file at logPath, and
-// waits for its first line on standard output until ctx ends. The child is
+// Start starts the binary, with its standard error and what follows the first
+// line of its standard output in the file at logPath, and waits for its first line on standard output until ctx ends. The child is
 // killed when this process ends, however it ends.
 func Start(ctx context.Context, logPath string, env []string, binary string, args ...string) (*Proc, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "proc: opening the log")
 	}
-	defer func() { _ = log.Close() }()
 	command := exec.Command(binary, args...) //nolint:noctx // ctx bounds the start, not the life
 	command.Env = append(os.Environ(), env...)
 	command.Stderr = log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := command.StdoutPipe()
 	if err != nil {
+		_ = log.Close()
 		return nil, errors.Wrap(err, "proc: making the pipe")
 	}
 	started := make(chan error)
 	starts() <- func() { started <- command.Start() }
 	if err := <-started; err != nil {
+		_ = log.Close()
 		return nil, errors.Wrap(err, "proc: starting")
 	}
 	p := &Proc{command: command, logPath: logPath, ended: make(chan struct{})}
-	return p, p.waitReady(ctx, out)
+	return p, p.waitReady(ctx, out, log)
 }
 
-// waitReady reads the first line; further output is passed over.
-func (p *Proc) waitReady(ctx context.Context, out io.Reader) error {
+// waitReady reads the first line; further output goes into the log.
+func (p *Proc) waitReady(ctx context.Context, out io.Reader, log io.WriteCloser) error {
 	lines := make(chan string, 1)
 	go func() {
 		reader := bufio.NewReader(out)
@@ -81,7 +82,11 @@
 		if err == nil {
 			lines <- strings.TrimSpace(line)
 		}
-		_, _ = io.Copy(io.Discard, reader)
+		if _, err := io.Copy(log, reader); err != nil {
+			// The process must not wait for a log that can't be written.
+			_, _ = io.Copy(io.Discard, reader)
+		}
+		_ = log.Close()
 		_ = p.command.Wait()
 		p.code = p.command.ProcessState.ExitCode()
 		close(p.ended)
@@ -142,6 +147,9 @@
 // Terminate asks the process to stop gracefully. It doesn't wait.
 func (p *Proc) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup tells the process to read its settings again.
+func (p *Proc) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Kill ends the process at once and waits until it's gone.
 func (p *Proc) Kill() {
 	p.signal(syscall.SIGKILL)
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -38,6 +38,7 @@
 	return []Verb{
 		nodeVerb(),
 		sidecarVerb(),
+		soakVerb(),
 		checkVerb(),
 		applyVerb(),
 		fetchVerb(),
