Answer what still runs when the grace ends; measure what sidecars cost

Now the node waits until 0.7 s before the end of the grace, ends the contexts of what still runs then, and each is answered (502, or 503 if it hasn't run) before the ports close. Ruled out: the kill by the platform (the process ended by itself).

bergamotloom cost: processor time and memory of sidecars as processes.

--- a/hops/handle.go
+++ b/hops/handle.go
@@ -27,7 +27,7 @@
 // Handler serves requests that other nodes send to the gate.
 func Handler(g gate) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		o := serve(g, r)
+		o := serve(g, r).WithCause(r.Context())
 		running, waiting := g.Load()
 		w.Header().Set(loadHeader, strconv.Itoa(running)+","+strconv.Itoa(waiting))
 		w.Header().Set(runst.Header, string(o.Ran))
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -147,7 +147,7 @@
 // ServeHTTP serves one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, began: e.clock.Fine(), id: r.Header.Get(e.words.RequestID)}
-	o := e.decide(q)
+	o := e.decide(q).WithCause(r.Context())
 	e.finish(w, q, o)
 }
 
--- a/output/output.go
+++ b/output/output.go
@@ -2,6 +2,7 @@
 package output
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -132,6 +133,22 @@
 	return Output{Ran: runst.Maybe, Reason: r, Detail: detail}
 }
 
+// ErrStopping is the cause for which a stopping node ends the contexts of the
+// requests that its grace has no time for.
+var ErrStopping = errors.New("the node stops")
+
+// WithCause returns the output of a request whose context may have ended: its
+// sender is still there if the node ended it.
+func (o Output) WithCause(ctx context.Context) Output {
+	if o.Reason != reason.Cancelled || !errors.Is(context.Cause(ctx), ErrStopping) {
+		return o
+	}
+	if o.Ran == runst.Never {
+		return Refused(reason.Leaving, ErrStopping.Error())
+	}
+	return Lost(reason.InstanceLost, ErrStopping.Error())
+}
+
 // WithRetryAfter returns the output with the time until there may be room.
 func (o Output) WithRetryAfter(millis int64) Output {
 	o.RetryAfterMillis = millis
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/hops"
+	"bergamotloom.example/output"
 	"bergamotloom.example/peeked"
 )
 
@@ -26,9 +27,12 @@
 	// callers ask once a second whether the node is ready, and leave after two
 	// misses.
 	lameDuck = 3 * time.Second
-	// stopReserve of the grace is kept for the last steps.
-	stopReserve = 1200 * time.Millisecond
-	stopPoll    = 50 * time.Millisecond
+	// stopReserve of the grace is kept for the last steps: answerTime for the
+	// requests that run still, closeTime for the ports.
+	stopReserve = 700 * time.Millisecond
+	answerTime  = 300 * time.Millisecond
+	closeTime   = 100 * time.Millisecond
+	stopPoll    = 20 * time.Millisecond
 )
 
 // listen opens all ports and serves them.
@@ -57,6 +61,7 @@
 			IdleTimeout:       peerIdle,
 			MaxHeaderBytes:    headerBytes,
 			ConnContext:       peeked.Context,
+			BaseContext:       func(net.Listener) context.Context { return n.requests },
 		}
 		servers = append(servers, s)
 		go func() {
@@ -89,14 +94,14 @@
 	n.gate.Stop()
 	n.mesh.Send()
 	n.log.Info("node: stopping", "Active", n.active.Load())
-	for {
-		passed := time.Since(began)
-		if passed >= grace || passed >= lameDuck && n.active.Load() == 0 {
-			break
-		}
-		time.Sleep(stopPoll)
+	n.waitIdle(min(lameDuck, grace), time.Until(began.Add(grace)))
+	if active := n.active.Load(); active > 0 {
+		n.log.Warn("node: requests end with the grace", "Active", active, "SinceMillis", time.Since(began).Milliseconds())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(began), stopPoll))
+	// What still runs is answered now: a closed connection would say less.
+	n.endRequests(output.ErrStopping)
+	n.waitIdle(0, answerTime)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -104,3 +109,14 @@
 		}
 	}
 }
+
+// waitIdle waits for least, and then until no request is being served, at most
+// for most in all.
+func (n *Sidecar) waitIdle(least, most time.Duration) {
+	for began := time.Now(); ; time.Sleep(stopPoll) {
+		passed := time.Since(began)
+		if passed >= most || passed >= least && n.active.Load() == 0 {
+			return
+		}
+	}
+}
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -70,17 +70,21 @@
 
 	// startedAt is when the node was made, by its clock.
 	startedAt int64
-	stopping  atomic.Bool
-	active    atomic.Int64
-	usedAt    atomic.Int64
-	group     sync.WaitGroup
+	// requests is the context of all requests, which endRequests ends.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	stopping    atomic.Bool
+	active      atomic.Int64
+	usedAt      atomic.Int64
+	group       sync.WaitGroup
 }
 
 // New returns a node that is about to run. The configuration lies in the
 // store's table under the key, and decode reads it.
 func New(s siting.Siting, w words.Words, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
-	n := &Sidecar{siting: s, clock: c, log: log, store: store, startedAt: c.Now(), registry: metrics.NewRegistry()}
+	requests, endRequests := context.WithCancelCause(context.Background())
+	n := &Sidecar{siting: s, clock: c, log: log, store: store, startedAt: c.Now(), registry: metrics.NewRegistry(), requests: requests, endRequests: endRequests}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.watches)
 	n.pool = conns.New(s.Target, c, targetIdleMillis)
 	book := parent.New(c, w.CallMark)
--- /dev/null
+++ b/verbs/cost.go
@@ -0,0 +1,50 @@
+package verbs
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/platform/soak"
+)
+
+type cost struct {
+	Lasts    time.Duration `help:"For how long requests are sent." default:"15s" env:"LOOM_COST_LASTS"`
+	Machines int           `help:"How many nodes run." default:"15" env:"LOOM_COST_MACHINES"`
+	Rate     int           `help:"Requests a second, over all nodes." default:"600" env:"LOOM_COST_RATE"`
+}
+
+func costVerb() Verb {
+	return Verb{
+		Name:    "cost",
+		Help:    "Measure what sidecars spend idle and on a request, as processes with stand-ins of the platform.",
+		Command: &cost{},
+	}
+}
+
+const bytesPerMB = 1 << 20
+
+// Run measures once and prints the figures.
+func (c *cost) Run(s *session) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "finding the program")
+	}
+	folder, err := os.MkdirTemp("", "cost")
+	if err != nil {
+		return errors.Wrap(err, "making a folder for the logs")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	got, err := soak.Soak{Binary: binary, Folder: folder, Seed: 1, Lasts: c.Lasts, Machines: c.Machines, Rate: c.Rate}.Cost(s.context)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "%d of %d requests served over two nodes each\n", got.Served, got.Requests)
+	fmt.Fprintf(s.out, "processor time a request: %.3f ms, both nodes\n", got.RequestMillis)
+	fmt.Fprintf(s.out, "processor time of an idle node: %.2f%% of a core\n", 100*got.IdlePart)
+	fmt.Fprintf(s.out, "memory of a node at most: %.0f MB\n", float64(got.PeakBytes)/bytesPerMB)
+	fmt.Fprintf(s.out, "calls to the store, idle fleet of %d: %.1f a second\n", c.Machines, got.StoreCalls)
+	return nil
+}
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -39,6 +39,7 @@
 		nodeVerb(),
 		sidecarVerb(),
 		soakVerb(),
+		costVerb(),
 		checkVerb(),
 		applyVerb(),
 		fetchVerb(),
