--- a/bench/bench.go
+++ b/bench/bench.go
@@ -7,6 +7,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/find"
 	"bergamotloom.example/rank"
 )
 
@@ -58,15 +59,15 @@
 
 // Play runs the named scenario at the named deployment under the named policy.
 func Play(scenario, deployment, control string, seed uint64) (Outcome, error) {
-	s, ok := find(scenes(), scenario, func(s scene) string { return s.name })
+	s, ok := find.ByName(scenes(), scenario, func(s scene) string { return s.name })
 	if !ok {
 		return Outcome{}, errors.Errorf("unknown scenario %q", scenario)
 	}
-	z, ok := find(sizes(), deployment, func(z size) string { return z.name })
+	z, ok := find.ByName(sizes(), deployment, func(z size) string { return z.name })
 	if !ok {
 		return Outcome{}, errors.Errorf("unknown deployment %q", deployment)
 	}
-	p, ok := find(policies(), control, func(p policy) string { return p.name })
+	p, ok := find.ByName(policies(), control, func(p policy) string { return p.name })
 	if !ok {
 		return Outcome{}, errors.Errorf("unknown policy %q", control)
 	}
@@ -77,17 +78,17 @@
 
 // Scenarios returns the names of the scenarios.
 func Scenarios() []string {
-	return names(scenes(), func(s scene) string { return s.name })
+	return find.Names(scenes(), func(s scene) string { return s.name })
 }
 
 // Deployments returns the names of the deployments.
 func Deployments() []string {
-	return names(sizes(), func(z size) string { return z.name })
+	return find.Names(sizes(), func(z size) string { return z.name })
 }
 
 // Policies returns the names of the policies, this version last.
 func Policies() []string {
-	return names(policies(), func(p policy) string { return p.name })
+	return find.Names(policies(), func(p policy) string { return p.name })
 }
 
 func (w *world) outcome(seed uint64) Outcome {
@@ -115,21 +116,3 @@
 	}
 	return o
 }
-
-func find[T any](all []T, name string, nameOf func(T) string) (T, bool) {
-	for _, v := range all {
-		if nameOf(v) == name {
-			return v, true
-		}
-	}
-	var none T
-	return none, false
-}
-
-func names[T any](all []T, nameOf func(T) string) []string {
-	var list []string
-	for _, v := range all {
-		list = append(list, nameOf(v))
-	}
-	return list
-}
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -9,6 +9,8 @@
 
 import (
 	"github.com/pkg/errors"
+
+	"bergamotloom.example/find"
 )
 
 // Outcome holds the measures of one pattern under one control. Parts are
@@ -40,11 +42,11 @@
 
 // Play runs the named pattern under the named control.
 func Play(name, control string, seed uint64) (Outcome, error) {
-	p, ok := find(patterns(), name, func(p pattern) string { return p.name })
+	p, ok := find.ByName(patterns(), name, func(p pattern) string { return p.name })
 	if !ok {
 		return Outcome{}, errors.Errorf("unknown pattern %q", name)
 	}
-	c, ok := find(controls(), control, func(c policy) string { return c.name })
+	c, ok := find.ByName(controls(), control, func(c policy) string { return c.name })
 	if !ok {
 		return Outcome{}, errors.Errorf("unknown control %q", control)
 	}
@@ -55,28 +57,10 @@
 
 // Patterns returns the names of the load patterns.
 func Patterns() []string {
-	return names(patterns(), func(p pattern) string { return p.name })
+	return find.Names(patterns(), func(p pattern) string { return p.name })
 }
 
 // Controls returns the names of the controls, the nodes' own last.
 func Controls() []string {
-	return names(controls(), func(c policy) string { return c.name })
-}
-
-func find[T any](all []T, name string, nameOf func(T) string) (T, bool) {
-	for _, v := range all {
-		if nameOf(v) == name {
-			return v, true
-		}
-	}
-	var none T
-	return none, false
-}
-
-func names[T any](all []T, nameOf func(T) string) []string {
-	var list []string
-	for _, v := range all {
-		list = append(list, nameOf(v))
-	}
-	return list
+	return find.Names(controls(), func(c policy) string { return c.name })
 }
--- /dev/null
+++ b/chart/chart.go
@@ -0,0 +1,55 @@
+// Package chart draws lines over time into a file.
+package chart
+
+import (
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	width  = 24 * vg.Centimeter
+	height = 12 * vg.Centimeter
+)
+
+// Chart is a plot with seconds across.
+type Chart struct {
+	plot  *plot.Plot
+	lines int
+}
+
+// New returns an empty chart; up says what stands on the vertical axis.
+func New(title, up string) *Chart {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = up
+	p.Legend.Top = true
+	return &Chart{plot: p}
+}
+
+// Add draws a line with one figure every stepSeconds.
+func (c *Chart) Add(name string, figures []float64, stepSeconds float64) error {
+	var points plotter.XYs
+	for i, y := range figures {
+		points = append(points, plotter.XY{X: float64(i) * stepSeconds, Y: y})
+	}
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return errors.Wrapf(err, "drawing %s", name)
+	}
+	l.Color = plotutil.Color(c.lines)
+	l.Dashes = plotutil.Dashes(c.lines)
+	c.lines++
+	c.plot.Add(l)
+	c.plot.Legend.Add(name, l)
+	return nil
+}
+
+// Write writes the chart into the file, whose extension tells the format: .svg
+// or .png.
+func (c *Chart) Write(file string) error {
+	return errors.Wrapf(c.plot.Save(width, height, file), "writing the plot %s", file)
+}
--- a/relay/link.go
+++ b/relay/link.go
@@ -37,7 +37,7 @@
 	return l
 }
 
-func (l *link) do(a Action) {
+func (l *link) do(a action) {
 	switch a {
 	case Cut:
 		l.close(false)
@@ -167,7 +167,7 @@
 
 // pass writes the bytes up to the limit, if there is one, and then does what
 // was arranged.
-func (l *link) pass(to net.Conn, bytes []byte, d direction, limit int64, after Action) bool {
+func (l *link) pass(to net.Conn, bytes []byte, d direction, limit int64, after action) bool {
 	left := limit - l.passed[d].Load()
 	reached := after != nothing && int64(len(bytes)) >= left
 	if reached {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,11 +23,11 @@
 	directions
 )
 
-// Action is something that happens to a connection.
-type Action int
+// action is something that happens to a connection.
+type action int
 
 const (
-	nothing Action = iota
+	nothing action = iota
 	// Cut closes both ends.
 	Cut
 	// Reset closes both ends with a TCP reset.
@@ -51,7 +51,7 @@
 	hold     bool
 	delay    time.Duration
 	limit    [directions]int64
-	after    [directions]Action
+	after    [directions]action
 }
 
 // New starts a relay from the listen address, of which port 0 is any free
@@ -98,7 +98,7 @@
 }
 
 // Do does something to all present connections. New ones aren't affected.
-func (r *Relay) Do(a Action) {
+func (r *Relay) Do(a action) {
 	for _, l := range r.all() {
 		l.do(a)
 	}
@@ -106,7 +106,7 @@
 
 // DoAfter does something to each connection when that many more bytes have
 // passed it in the direction, also to connections that are yet to come.
-func (r *Relay) DoAfter(d direction, bytes int64, a Action) {
+func (r *Relay) DoAfter(d direction, bytes int64, a action) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.limit[d], r.after[d] = bytes, a
@@ -195,7 +195,7 @@
 }
 
 // present returns the delay and what DoAfter arranged for the direction.
-func (r *Relay) present(d direction) (time.Duration, int64, Action) {
+func (r *Relay) present(d direction) (time.Duration, int64, action) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.delay, r.limit[d], r.after[d]
