Refuse what a stopping node has no time for

Now a request whose time ends after the node does is refused at once, not run, so that its caller can go elsewhere; calls of the target get what time there is.

--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -85,7 +86,9 @@
 	log     *slog.Logger
 	// registry holds the counters and latencies of requests.
 	registry metrics.Registry
-	mutex    sync.Mutex
+	// endAt is when a stopping node ends, by its clock, else 0.
+	endAt atomic.Int64
+	mutex sync.Mutex
 	// repeats holds a budget a service, which earns share with each request.
 	repeats map[string]*ratio.Ratio
 	share   float64
@@ -162,6 +165,9 @@
 		return o
 	}
 	e.trace(q)
+	if o, ok := e.inTime(q); !ok {
+		return o
+	}
 	if !q.trip.Call {
 		if !e.screen.Admits(q.trip.Root, q.trip.Grade) {
 			return output.Refused(reason.Overloaded, "a service that the route needs is overloaded")
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -23,9 +23,8 @@
 	callerIdle  = 15 * time.Second
 	configWait  = 400 * time.Millisecond
 	headerBytes = 64 << 10
-	// lameDuck is how long requests are still taken after a stop signal:
-	// callers ask once a second whether the node is ready, and leave after two
-	// misses.
+	// lameDuck is how long the node is there at least after a stop signal:
+	// callers ask once a second whether it's ready, and leave after two misses.
 	lameDuck = 3 * time.Second
 	// stopReserve of the grace is kept for the last steps: answerTime for the
 	// requests that run still, closeTime for the ports.
@@ -91,6 +90,7 @@
 	began := time.Now()
 	grace := time.Duration(n.siting.GraceMillis)*time.Millisecond - stopReserve
 	n.stopping.Store(true)
+	n.entry.EndAt(n.clock.Now() + grace.Milliseconds())
 	n.gate.Stop()
 	n.mesh.Send()
 	n.log.Info("node: stopping", "Active", n.active.Load())
