--- a/chain/call.go
+++ b/chain/call.go
@@ -21,12 +21,11 @@
 
 // try is one caller's request on its way through the fleet.
 type try struct {
-	errand *errand
-	root   string
-	grade  grade.Grade
-	goal   float64
-	due    float64
-	ended  bool
+	root  string
+	grade grade.Grade
+	goal  float64
+	due   float64
+	ended bool
 	// took is the slot time spent on it.
 	took float64
 }
--- a/chain/node.go
+++ b/chain/node.go
@@ -120,7 +120,7 @@
 func (n *node) enter(e *errand, done func(o outcome, retryAfter float64)) {
 	w, k := n.world, n.world.kinds[e.kind]
 	t := &try{
-		errand: e, root: k.name, grade: grade.New(0, false, k.rank),
+		root: k.name, grade: grade.New(0, false, k.rank),
 		goal: e.sentAt + k.goal, due: e.deadline,
 	}
 	if w.policy.screen && !n.screen.Admits(t.root, t.grade) {
