Retries test: slots for all calls in flight

Cause, seen with the answer kept by the test: with two parallel calls at each of six depths, five callers have up to 160 calls at once before the 100 slots of the last service. Its gate announces a threshold and entries refuse, truthfully, 503 Overloaded without a run, which the test took for a lost run.

All assertions stay.

--- a/fleet/retries_test.go
+++ b/fleet/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -18,6 +19,10 @@
 
 const (
 	chainDepth = 6
+	// chainSlots is more than all calls that the callers can have in flight at
+	// the last service (160, each sent up to three times), so that no overload
+	// mixes with the failures: a request may be refused without a run then.
+	chainSlots = "1000"
 	// chainRetries is the allowance of the chain's route.
 	chainRetries = 2
 	// So many requests fail, each sent several times by its caller.
@@ -43,7 +48,7 @@
 func chainLayout(width int) layout.Layout {
 	l := layout.New("c1")
 	for depth := 1; depth <= chainDepth; depth++ {
-		args := []string{"--work-millis", "1", "--slots", "100", "--call-retries", "3"}
+		args := []string{"--work-millis", "1", "--slots", chainSlots, "--call-retries", "3"}
 		path := "/" + chainService(depth) + "/1"
 		next := strings.Repeat(",/"+chainService(depth+1)+"/1", width)
 		args = append(args, "--call", path+"="+next[1:], "--parallel", path)
@@ -58,7 +63,7 @@
 	var services, routes strings.Builder
 	for depth := 1; depth <= chainDepth; depth++ {
 		s := chainService(depth)
-		fmt.Fprintf(&services, "  - {Name: %s, Slots: 100}\n", s)
+		fmt.Fprintf(&services, "  - {Name: %s, Slots: %s}\n", s, chainSlots)
 		fmt.Fprintf(&routes, "  - {Name: %s, Match: /%s/*, Service: %s, Rank: Critical, Idempotent: true, Timeout: 5s, Retries: %d}\n", strings.ToUpper(s), s, s, chainRetries)
 	}
 	const teams = "Teams:\n  - {Name: Lakes, Rate: 100000, Burst: 100000, Keys: [\"HASH\"]}\n"
@@ -83,27 +88,40 @@
 	return f
 }
 
-// failing sends a request that can't be served and returns its identity.
-func failing(t *testing.T, node, name string) string {
+// chainSend is what became of one send of a caller.
+type chainSend struct {
+	id, answer string
+}
+
+// failing sends a request that can't be served and returns what became of it.
+func failing(t *testing.T, node, name string) chainSend {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node+"/a/1", http.NoBody)
 	if err != nil {
 		t.Error(err)
-		return ""
+		return chainSend{}
 	}
 	request.Header.Set(header.Authorization, header.Bearer+key)
 	request.Header.Set(header.IdempotencyKey, name)
 	request.Header.Set(header.Timeout, chainTimeout)
+	began := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Error(err)
-		return ""
+		return chainSend{}
 	}
+	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	if err != nil {
+		t.Error(err)
+	}
 	if response.StatusCode == http.StatusOK {
 		t.Errorf("%s was served", name)
 	}
-	return response.Header.Get(header.Request)
+	return chainSend{
+		id:     response.Header.Get(header.Request),
+		answer: fmt.Sprintf("%s of %s after %s: %v %s", response.Status, node, time.Since(began), response.Header, body),
+	}
 }
 
 // runsByRequest counts the runs of each request, and of each of its services.
@@ -133,7 +151,7 @@
 func checkRetries(t *testing.T, width, requests int) {
 	t.Helper()
 	f := startChain(t, width)
-	sent := make([]string, requests*callerSends)
+	sent := make([]chainSend, requests*callerSends)
 	var callers sync.WaitGroup
 	for c := range chainCallers {
 		callers.Go(func() {
@@ -150,10 +168,10 @@
 		most = max(most, runs)
 	}
 	assert.Assert(t, most <= first+chainRetries, "one request had %d runs", most)
-	for _, id := range sent {
-		sum += total[id]
-		assert.Assert(t, services[id+" a"] >= 1, "a request didn't run")
-		assert.Assert(t, services[id+" a"] <= 1+chainRetries)
+	for _, s := range sent {
+		sum += total[s.id]
+		assert.Assert(t, services[s.id+" a"] >= 1, "request %s didn't run: %s", s.id, s.answer)
+		assert.Assert(t, services[s.id+" a"] <= 1+chainRetries)
 	}
 	average := float64(sum) / float64(len(sent)*first)
 	t.Logf("%d sends of callers; %d runs without retries; at most %d runs, %.3f of the first sends", len(sent), first, most, average)
