Gate's decisions in one package for the node and the bench of chains

govern holds limit, threshold, demand and failing part of one gate, turn the order of what waits; inbnd and chain had a copy each. The node decides as before. The bench now does what the node does in three details that its copy had left out: cards tell the load after the step, a root's part below 1% isn't listed, and failing parts below 0.001 count as none.

--- a/chain/call.go
+++ b/chain/call.go
@@ -137,12 +137,12 @@
 		n.target.take(j)
 		return
 	}
-	n.demand.Arrived(c.try.grade, c.try.root, n.limit.RunMillis())
-	due := w.loop.Now()
-	if w.policy.chains {
-		due += turnMillis(c.try.goal-due, c.try.grade, w.policy.overdue)
+	n.governor.Arrived(c.try.grade, c.try.root)
+	order := w.loop.Now()
+	if w.policy.order != nil {
+		order += w.policy.order(c.try.goal-order, c.try.grade)
 	}
-	why, waits := n.queue.Offer(due, c.try.due, func(why reason.Reason) {
+	why, waits := n.queue.Offer(order, c.try.due, func(why reason.Reason) {
 		w.loop.After(0, func() { j.settled(why) })
 	})
 	if !waits {
@@ -150,14 +150,6 @@
 	}
 }
 
-// turnMillis is that of the gate (package inbnd).
-func turnMillis(goalMillis float64, g grade.Grade, overdue bool) float64 {
-	if overdue && goalMillis < 0 {
-		goalMillis = overdueMillis
-	}
-	return goalMillis + float64(g.Route())*rankMillis
-}
-
 // settled goes on once the queue has decided.
 func (j *job) settled(why reason.Reason) {
 	switch {
@@ -227,15 +219,10 @@
 
 // ended lets the node learn from a run.
 func (n *node) ended(c *call, o outcome, took float64) {
-	part := 1.0
 	if o == served {
-		part = 0
-		kind := c.try.root
-		if c.inner {
-			kind = "calls of " + kind
-		}
-		n.limit.Observe(kind, took, n.world.loop.Clock().Now())
+		n.governor.Ended(c.try.root, c.inner, took)
+	} else {
+		n.governor.Failed()
 	}
-	n.failing += (part - n.failing) * failSmoothing
 	n.queue.Leave()
 }
--- a/chain/node.go
+++ b/chain/node.go
@@ -4,11 +4,8 @@
 	"math/rand/v2"
 
 	"bergamotloom.example/card"
-	"bergamotloom.example/cutoff"
-	"bergamotloom.example/demand"
+	"bergamotloom.example/govern"
 	"bergamotloom.example/grade"
-	"bergamotloom.example/limit"
-	"bergamotloom.example/pacer"
 	"bergamotloom.example/picker"
 	"bergamotloom.example/queue"
 	"bergamotloom.example/ratio"
@@ -16,32 +13,25 @@
 )
 
 const (
-	// rankMillis, overdueMillis, failSmoothing, the budget and the offers are those of the
-	// nodes (packages inbnd and outbnd).
-	rankMillis    = 100
-	overdueMillis = 150
-	failSmoothing = 0.05
-	repeatShare   = 0.12
-	savedRepeats  = 5
-	offers        = 3
+	// The budget of repeats and the offers are those of the nodes' entries
+	// (package outbnd).
+	repeatShare  = 0.12
+	savedRepeats = 5
+	offers       = 3
 )
 
 // node is a node's decisions with the fake target beside it.
 type node struct {
-	world   *world
-	service int
-	id      string
-	target  target
-	screen  *screen.Screen
-	picker  *picker.Picker
-	queue   *queue.Queue
-	limit   *limit.Limit
-	pacer   *pacer.Pacer
-	demand  *demand.Demand
-	cutoff  cutoff.Cutoff
-	repeats []*ratio.Ratio
-	failing float64
-	dead    bool
+	world    *world
+	service  int
+	id       string
+	target   target
+	screen   *screen.Screen
+	picker   *picker.Picker
+	queue    *queue.Queue
+	governor *govern.Governor
+	repeats  []*ratio.Ratio
+	dead     bool
 	// life counts the starts, so that work of an earlier one is lost.
 	life     int64
 	sequence int64
@@ -58,14 +48,10 @@
 	c := n.world.loop.Clock()
 	n.screen = screen.New(c, seed)
 	n.picker = picker.New(c, "", seed)
-	n.limit = limit.New(n.target.slots)
-	n.pacer = pacer.New()
-	n.demand = demand.New(c.Fine())
-	n.cutoff = cutoff.Full()
 	n.queue = queue.New(c)
-	n.queue.SetLimit(n.limit.Choose(false, c.Now()), 0)
+	n.governor = govern.New(c, n.queue, n.target.slots)
+	n.governor.Admit()
 	n.queue.Open()
-	n.failing = 0
 	n.repeats = nil
 	for range services() {
 		n.repeats = append(n.repeats, ratio.New(repeatShare, savedRepeats))
@@ -91,29 +77,15 @@
 
 // tick moves the gate's decisions on and returns the node's card.
 func (n *node) tick() card.Card {
-	running, waiting := n.queue.Load()
-	c := n.world.loop.Clock()
-	chosen := n.limit.Choose(waiting > 0, c.Now())
-	run := n.limit.RunMillis()
-	n.queue.SetLimit(chosen, run)
-	arrived := n.demand.Tick(c.Fine(), float64(chosen))
-	n.cutoff = n.pacer.Step(arrived, float64(waiting)*run/float64(chosen))
+	n.governor.Tick()
 	n.sequence++
-	told := n.card()
-	told.Running, told.Waiting = running, waiting
-	return told
+	return n.card()
 }
 
 func (n *node) card() card.Card {
-	told := card.Card{
+	return n.governor.Describe(card.Card{
 		Peers: n.id, Incarnation: n.life, Sequence: n.sequence, Service: services()[n.service].name, Target: n.id,
-		Limit: n.limit.Slots(), RunMillis: float32(n.limit.RunMillis()), Failing: float32(n.failing),
-		Cutoff: float32(n.cutoff.Grades), Least: float32(n.cutoff.Least), Uses: make(map[uint32]float32),
-	}
-	for root, used := range n.demand.Uses() {
-		told.Uses[card.Hash(root)] = float32(used)
-	}
-	return told
+	})
 }
 
 // enter takes a caller's try at the entry.
--- a/chain/policy.go
+++ b/chain/policy.go
@@ -1,5 +1,10 @@
 package chain
 
+import (
+	"bergamotloom.example/grade"
+	"bergamotloom.example/turn"
+)
+
 // policy is one way to control, by its name.
 type policy struct {
 	name string
@@ -8,11 +13,9 @@
 	gates bool
 	// screen refuses at the entry what a service behind it couldn't take.
 	screen bool
-	// chains lets calls go by the objective of the caller's request, in place
-	// of the order in which they come to the gate.
-	chains bool
-	// overdue lets those that have missed their objective go after the others.
-	overdue bool
+	// order is in how many milliseconds a request should begin, of the time to
+	// its objective; nil for the order in which requests come to the gate.
+	order func(goalMillis float64, g grade.Grade) float64
 }
 
 func controls() []policy {
@@ -20,7 +23,7 @@
 		{name: "none", help: "no control: a random instance, and the targets' own queues"},
 		{name: "gates", help: "gates that bound what runs, in the order of arrival", gates: true},
 		{name: "screen", help: "gates in the order of arrival, whose thresholds go back to the entries", gates: true, screen: true},
-		{name: "before", help: "thresholds, and the order of the callers' objectives", gates: true, screen: true, chains: true},
-		{name: "loom", help: "this version: the same, but those that have missed their objective go last", gates: true, screen: true, chains: true, overdue: true},
+		{name: "before", help: "thresholds, and the order of the callers' objectives", gates: true, screen: true, order: turn.ByObjective},
+		{name: "loom", help: "this version: the same, but those that have missed their objective go last", gates: true, screen: true, order: turn.Millis},
 	}
 }
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -19,34 +19,23 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
 	"bergamotloom.example/crash"
-	"bergamotloom.example/cutoff"
-	"bergamotloom.example/demand"
+	"bergamotloom.example/govern"
 	"bergamotloom.example/heads"
-	"bergamotloom.example/limit"
 	"bergamotloom.example/notice"
 	"bergamotloom.example/output"
-	"bergamotloom.example/pacer"
 	"bergamotloom.example/parent"
 	"bergamotloom.example/queue"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/trip"
+	"bergamotloom.example/turn"
 	"bergamotloom.example/words"
 )
 
 const (
 	// refusalBytes is the most that is read of a target's refusal.
 	refusalBytes = 64 << 10
-	// rankMillis is by how much a less important rank is due later.
-	rankMillis = 100
-	// overdueMillis is how far off the objective of a request counts that has
-	// missed it: several waits in a line of usual length.
-	overdueMillis = 150
 	// silentBeats is after how many missing heartbeats a target is lost.
 	silentBeats = 4
-	// unusedPart of the target's time is the least for which a root is listed.
-	unusedPart = 0.01
-	// leastFailing is the part of failing runs that counts as none.
-	leastFailing = 0.001
 	// tellMillis passes between two lines of the gate's state.
 	tellMillis = 1000
 	// probeWait is for how long a probe waits for a connection: a target on the
@@ -54,8 +43,6 @@
 	probeWait = 200 * time.Millisecond
 	// sampleSize is how many times a histogram keeps to tell its quantiles.
 	sampleSize = 1024
-	// failSmoothing is the weight of a new run in the mean of those that fail.
-	failSmoothing = 0.05
 )
 
 // Gate stands before one target. It's safe for many goroutines.
@@ -84,23 +71,20 @@
 	left     map[string]int64
 	lastLeft string
 	stopping bool
-	limit    *limit.Limit
-	pacer    *pacer.Pacer
-	cutoff   cutoff.Cutoff
-	failing  float64
-	demand   *demand.Demand
+	governor *govern.Governor
 	toldAt   int64
 }
 
 // New returns the gate of the target at the pool's address, which runs this
 // service. It lets nothing in before the target's first heartbeat.
 func New(c clock.Clock, w words.Words, service string, beatMillis int64, pool *conns.Conns, book *parent.Book, marks *crash.Marks, log *slog.Logger, registry metrics.Registry) *Gate {
+	line := queue.New(c)
 	return &Gate{
 		clock:      c,
 		words:      w,
 		service:    service,
 		pool:       pool,
-		queue:      queue.New(c),
+		queue:      line,
 		book:       book,
 		marks:      marks,
 		deaths:     newDeaths(c, marks, log),
@@ -109,10 +93,7 @@
 		runs:       metrics.GetOrRegisterHistogram("gate.run.millis", registry, metrics.NewUniformSample(sampleSize)),
 		beatMillis: beatMillis,
 		left:       make(map[string]int64),
-		limit:      limit.New(1),
-		pacer:      pacer.New(),
-		cutoff:     cutoff.Full(),
-		demand:     demand.New(c.Fine()),
+		governor:   govern.New(c, line, 1),
 	}
 }
 
@@ -126,7 +107,7 @@
 		return output.Refused(reason.NoInstance, "no target of the service here")
 	}
 	due := began + t.LeftMillis
-	order := began + turnMillis(t)
+	order := began + turn.Millis(t.GoalMillis, t.Grade)
 	if why := g.queue.Enter(ctx, order, due); why != "" {
 		return output.Refused(why, "at the gate")
 	}
@@ -168,19 +149,6 @@
 	return o
 }
 
-// turnMillis is in how long a request should begin, by which the gate orders
-// those that wait. Calls go by the objective of the caller's request, so that a
-// chain that began earlier waits once and not at each of its calls. One that has
-// missed its objective goes after those that can still meet theirs: else, when
-// the line has grown long once, late requests make all others late too.
-func turnMillis(t trip.Trip) float64 {
-	goal := t.GoalMillis
-	if goal < 0 {
-		goal = overdueMillis
-	}
-	return goal + float64(t.Grade.Route())*rankMillis
-}
-
 // addHeaders sets what the dialect lets nodes say to a target.
 func (g *Gate) addHeaders(h http.Header, t trip.Trip, target string, leftMillis float64) {
 	h.Del(trip.Header)
@@ -223,7 +191,7 @@
 	case g.clock.Fine() >= due:
 		return output.Lost(reason.DeadlineExceeded, err.Error())
 	}
-	g.failed(1)
+	g.failed()
 	return output.Lost(reason.InstanceLost, err.Error())
 }
 
@@ -232,7 +200,7 @@
 	if answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(g.words.NotRun) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
 		done(err == nil)
-		g.failed(1)
+		g.failed()
 		return output.Refused(reason.TargetRefused, "the target answered "+strconv.Itoa(answer.StatusCode)+" without a run")
 	}
 	if answer.Header.Get(g.words.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
@@ -250,33 +218,25 @@
 func (g *Gate) arrived(t trip.Trip) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.demand.Arrived(t.Grade, t.Root, g.limit.RunMillis())
+	g.governor.Arrived(t.Grade, t.Root)
 }
 
 // ended takes in how a run went.
 func (g *Gate) ended(t trip.Trip, o output.Output, millis float64) {
 	if o.Reason != "" || o.Failed() {
-		g.failed(1)
+		g.failed()
 		return
 	}
-	g.failed(0)
 	g.runs.Update(int64(millis))
-	kind := t.Root
-	if t.Call {
-		kind = "calls of " + t.Root
-	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.limit.Observe(kind, millis, g.clock.Now())
+	g.governor.Ended(t.Root, t.Call, millis)
 }
 
-func (g *Gate) failed(part float64) {
+func (g *Gate) failed() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.failing += (part - g.failing) * failSmoothing
-	if g.failing < leastFailing {
-		g.failing = 0
-	}
+	g.governor.Failed()
 }
 
 // Tick adapts the limit and the threshold. It's called ten times a second.
@@ -285,31 +245,24 @@
 	if g.deaths.doubt() {
 		go g.probe()
 	}
-	running, waiting := g.queue.Load()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
-	chosen := g.limit.Choose(waiting > 0, now)
-	run := g.limit.RunMillis()
-	g.queue.SetLimit(chosen, run)
-	arrived := g.demand.Tick(g.clock.Fine(), float64(chosen))
-	line := float64(waiting) * run / float64(chosen)
-	g.cutoff = g.pacer.Step(arrived, line)
-	if now-g.toldAt >= tellMillis && (running > 0 || !g.cutoff.IsFull()) {
+	s := g.governor.Tick()
+	if now-g.toldAt >= tellMillis && (s.Running > 0 || !s.Cutoff.IsFull()) {
 		g.toldAt = now
-		g.log.Info("gate: state", "Target", g.target.Target, "Limit", chosen, "Running", running, "Waiting", waiting,
-			"RunMillis", run, "LineMillis", line, "Arrived", arrived, "Cutoff", g.cutoff.Grades, "Least", g.cutoff.Least, "Failing", g.failing)
+		g.log.Info("gate: state", "Target", g.target.Target, "Limit", s.Limit, "Running", s.Running, "Waiting", s.Waiting,
+			"RunMillis", s.RunMillis, "LineMillis", s.LineMillis, "Arrived", s.Arrived, "Cutoff", s.Cutoff.Grades, "Least", s.Cutoff.Least, "Failing", s.Failing)
 	}
 	if g.known && !g.target.Leaving && now-g.heardAt > silentBeats*g.beatMillis {
 		g.known = false
 		g.queue.Shut()
-		g.log.Warn("gate: target is silent", "Target", g.target.Target, "SinceMillis", now-g.heardAt, "Running", running)
+		g.log.Warn("gate: target is silent", "Target", g.target.Target, "SinceMillis", now-g.heardAt, "Running", s.Running)
 	}
 }
 
 // Describe adds the gate's state to the node's card.
 func (g *Gate) Describe(c card.Card) card.Card {
-	running, waiting := g.queue.Load()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	c.Service = g.service
@@ -317,18 +270,7 @@
 		c.Target = g.target.Target
 	}
 	c.Left = g.lastLeft
-	c.Running, c.Waiting = running, waiting
-	c.Limit = g.limit.Slots()
-	c.RunMillis = float32(g.limit.RunMillis())
-	c.Failing = float32(g.failing)
-	c.Cutoff, c.Least = float32(g.cutoff.Grades), float32(g.cutoff.Least)
-	c.Uses = make(map[uint32]float32)
-	for root, part := range g.demand.Uses() {
-		if part >= unusedPart {
-			c.Uses[card.Hash(root)] = float32(part)
-		}
-	}
-	return c
+	return g.governor.Describe(c)
 }
 
 // Stop refuses requests from now on; those that run go on.
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -1,9 +1,6 @@
 package inbnd
 
-import (
-	"bergamotloom.example/limit"
-	"bergamotloom.example/notice"
-)
+import "bergamotloom.example/notice"
 
 // Hear takes a heartbeat of the target. One that is older than what is known,
 // or that comes from an earlier start, changes nothing.
@@ -25,9 +22,8 @@
 	if started {
 		g.deaths.proved()
 	}
-	if started || n.Slots != g.limit.Slots() {
-		g.limit = limit.New(n.Slots)
-		g.failing = 0
+	if started || n.Slots != g.governor.Slots() {
+		g.governor.Restart(n.Slots)
 	}
 	opened := !g.known
 	g.target, g.known, g.heardAt = n, true, g.clock.Now()
@@ -39,7 +35,7 @@
 		g.log.Info("gate: target is ready", "Target", n.Target, "BornMillis", n.BornMillis, "Sequence", n.Sequence, "Slots", n.Slots, "ColdMillis", n.ColdMillis)
 	}
 	if !g.stopping {
-		g.queue.SetLimit(g.limit.Choose(false, g.heardAt), g.limit.RunMillis())
+		g.governor.Admit()
 		g.queue.Open()
 	}
 }
--- a/verbs/cost.go
+++ b/verbs/cost.go
@@ -14,6 +14,7 @@
 	Lasts    time.Duration `help:"For how long requests are sent." default:"15s" env:"LOOM_COST_LASTS"`
 	Machines int           `help:"How many nodes run." default:"15" env:"LOOM_COST_MACHINES"`
 	Rate     int           `help:"Requests a second, over all nodes." default:"600" env:"LOOM_COST_RATE"`
+	Verbose  bool          `help:"Let the nodes log each request." env:"LOOM_COST_VERBOSE"`
 }
 
 func costVerb() Verb {
@@ -37,7 +38,7 @@
 		return errors.Wrap(err, "making a folder for the logs")
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	got, err := soak.Soak{Binary: binary, Folder: folder, Seed: 1, Lasts: c.Lasts, Machines: c.Machines, Rate: c.Rate}.Cost(s.context)
+	got, err := soak.Soak{Binary: binary, Folder: folder, Seed: 1, Lasts: c.Lasts, Machines: c.Machines, Rate: c.Rate, Verbose: c.Verbose}.Cost(s.context)
 	if err != nil {
 		return err
 	}
