Bench of chains: shares handed out and a price per slot beside thresholds

Equal shares are idle at entries that have few of a kind, and hand out time while a line is long already; a price settles slower than the line grows and fails chains half way.

--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// Thresholds serve more under overload than two other ways to decide at the
+// entry, though these know in advance what each request takes.
+func TestThresholdsServeMoreThanSharesAndPrices(t *testing.T) {
+	t.Parallel()
+	for _, p := range []string{"burst", "hasty", "half", "fresh", "lost"} {
+		loom := mean(t, p, "loom", worth)
+		for _, other := range []string{"shares", "prices"} {
+			theirs := mean(t, p, other, worth)
+			t.Logf("%s: %.3f, %s %.3f", p, loom, other, theirs)
+			assert.Check(t, loom > theirs, "%s: %.3f, %s %.3f", p, loom, other, theirs)
+		}
+	}
+}
+
 // When instances are lost during a burst, requests that have missed their
 // objective don't make those behind them miss theirs.
 func TestOverdueRequestsMakeNoOthersLate(t *testing.T) {
--- a/chain/graph.go
+++ b/chain/graph.go
@@ -1,6 +1,9 @@
 package chain
 
-import "bergamotloom.example/rank"
+import (
+	"bergamotloom.example/grade"
+	"bergamotloom.example/rank"
+)
 
 // service is one service of the deployment.
 type service struct {
@@ -30,6 +33,8 @@
 	worth   float64
 }
 
+func (k kind) grade() grade.Grade { return grade.New(0, false, k.rank) }
+
 // latePart of its worth is what an answer has after its objective.
 const latePart = 0.3
 
--- a/chain/node.go
+++ b/chain/node.go
@@ -5,11 +5,9 @@
 
 	"bergamotloom.example/card"
 	"bergamotloom.example/govern"
-	"bergamotloom.example/grade"
 	"bergamotloom.example/picker"
 	"bergamotloom.example/queue"
 	"bergamotloom.example/ratio"
-	"bergamotloom.example/screen"
 )
 
 const (
@@ -26,7 +24,7 @@
 	service  int
 	id       string
 	target   target
-	screen   *screen.Screen
+	admits   admission
 	picker   *picker.Picker
 	queue    *queue.Queue
 	governor *govern.Governor
@@ -46,7 +44,7 @@
 
 func (n *node) start(seed uint64) {
 	c := n.world.loop.Clock()
-	n.screen = screen.New(c, seed)
+	n.admits = n.world.policy.admits(n)
 	n.picker = picker.New(c, "", seed)
 	n.queue = queue.New(c)
 	n.governor = govern.New(c, n.queue, n.target.slots)
@@ -78,6 +76,7 @@
 // tick moves the gate's decisions on and returns the node's card.
 func (n *node) tick() card.Card {
 	n.governor.Tick()
+	n.admits.tick()
 	n.sequence++
 	return n.card()
 }
@@ -92,10 +91,10 @@
 func (n *node) enter(e *errand, done func(o outcome, retryAfter float64)) {
 	w, k := n.world, n.world.kinds[e.kind]
 	t := &try{
-		root: k.name, grade: grade.New(0, false, k.rank),
+		root: k.name, grade: k.grade(),
 		goal: e.sentAt + k.goal, due: e.deadline,
 	}
-	if w.policy.screen && !n.screen.Admits(t.root, t.grade) {
+	if !n.admits.admits(k) {
 		done(refused, w.retryAfter(e))
 		return
 	}
