A target whose runs fail slowly counts as slow, and a hung one's line is refused in time

Now runs that hold a slot longer than the mean raise it, whatever became of them (quick failures don't lower it), the first runs weigh equally, and each step refuses those that wait in vain. Ruled out: the hop (one gate only), the server (its own runs ended).

--- a/chain/call.go
+++ b/chain/call.go
@@ -222,7 +222,7 @@
 	if o == served {
 		n.governor.Ended(c.try.root, c.inner, took)
 	} else {
-		n.governor.Failed()
+		n.governor.Failed(took)
 	}
 	n.queue.Leave()
 }
--- a/chain/pattern.go
+++ b/chain/pattern.go
@@ -34,6 +34,7 @@
 		{name: "hasty", help: "the burst, with callers that come back at once", demand: burst, speed: 1, hasty: true},
 		{name: "half", help: "the burst, with a third of the instances at half of their speed", demand: burst, part: 1.0 / 3, speed: 0.5},
 		{name: "grey", help: "a third of the scarce service's instances reject half of what comes", demand: 1, part: 1.0 / 3, first: stock, speed: 1, reject: 0.5},
+		{name: "shed", help: "the burst, with all of the scarce service's instances rejecting half of what comes", demand: burst, part: 1, first: stock, speed: 1, reject: 0.5},
 		{name: "fresh", help: "the burst, with a new cold instance of the scarce service", demand: burst, first: stock, speed: 1, fresh: 1},
 		{name: "lost", help: "the burst, with a fifth of the instances of each service lost", demand: burst, part: 0.2, speed: 1, lost: true},
 	}
--- a/govern/govern.go
+++ b/govern/govern.go
@@ -76,9 +76,17 @@
 	g.limit.Observe(root, millis, g.clock.Now())
 }
 
-// Failed takes in a run that didn't serve its request.
-func (g *Governor) Failed() {
+// Failed takes in a run that didn't serve its request and held a slot for so
+// long.
+func (g *Governor) Failed(millis float64) {
 	g.fail(1)
+	g.limit.Held(millis)
+}
+
+// Held takes in a run of which nothing is known but how long it held a slot: its
+// caller left, or its time ran out.
+func (g *Governor) Held(millis float64) {
+	g.limit.Held(millis)
 }
 
 func (g *Governor) fail(part float64) {
--- a/govern/govern_test.go
+++ b/govern/govern_test.go
@@ -88,7 +88,7 @@
 	c, _ := clock.NewManual(0)
 	g := govern.New(c, queue.New(c), slots)
 	for range 50 {
-		g.Failed()
+		g.Failed(runMillis)
 	}
 	assert.Assert(t, g.Describe(card.Card{}).Failing > 0.9)
 	g.Restart(2 * slots)
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -139,6 +139,7 @@
 		if o.Reason == reason.InstanceLost {
 			g.deaths.lost(t.Mark, began)
 		}
+		g.ended(t, o, g.clock.Fine()-began)
 		return o
 	}
 	o := g.read(answer, done)
@@ -191,7 +192,6 @@
 	case g.clock.Fine() >= due:
 		return output.Lost(reason.DeadlineExceeded, err.Error())
 	}
-	g.failed()
 	return output.Lost(reason.InstanceLost, err.Error())
 }
 
@@ -200,7 +200,6 @@
 	if answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(g.words.NotRun) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
 		done(err == nil)
-		g.failed()
 		return output.Refused(reason.TargetRefused, "the target answered "+strconv.Itoa(answer.StatusCode)+" without a run")
 	}
 	if answer.Header.Get(g.words.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
@@ -223,20 +222,21 @@
 
 // ended takes in how a run went.
 func (g *Gate) ended(t trip.Trip, o output.Output, millis float64) {
-	if o.Reason != "" || o.Failed() {
-		g.failed()
-		return
+	served := o.Answered() && !o.Failed()
+	if served {
+		g.runs.Update(int64(millis))
 	}
-	g.runs.Update(int64(millis))
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.governor.Ended(t.Root, t.Call, millis)
-}
-
-func (g *Gate) failed() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.governor.Failed()
+	switch {
+	case served:
+		g.governor.Ended(t.Root, t.Call, millis)
+	case o.Answered() || o.Reason == reason.InstanceLost || o.Reason == reason.TargetRefused:
+		g.governor.Failed(millis)
+	default:
+		// Its caller left, its time ran out, or the target couldn't be reached.
+		g.governor.Held(millis)
+	}
 }
 
 // Tick adapts the limit and the threshold. It's called ten times a second.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,6 +31,8 @@
 	runSmoothing  = 0.02
 	// mostStretch is what one run counts at most, in means of its kind.
 	mostStretch = 4
+	// guessMillis is taken for a run as long as nothing is known.
+	guessMillis = 20
 )
 
 // Limit learns from the runs of one target. It isn't safe for concurrent use.
@@ -44,7 +46,9 @@
 	kinds   map[string]float64
 	kept    sample
 	trial   sample
-	run     float64
+	// run is the mean time of a run, and runs how many it's made of.
+	run  float64
+	runs float64
 }
 
 // sample holds how much longer than the mean of their kinds some runs took.
@@ -65,10 +69,7 @@
 // Observe takes in a run that took so many milliseconds and ended now. All
 // runs of a kind take about the same time.
 func (l *Limit) Observe(kind string, millis float64, now int64) {
-	if l.run == 0 {
-		l.run = millis
-	}
-	l.run += (millis - l.run) * runSmoothing
+	l.learn(millis)
 	mean, ok := l.kinds[kind]
 	if !ok || mean <= 0 {
 		l.kinds[kind] = millis
@@ -86,6 +87,23 @@
 	s.sum += min(millis/mean, mostStretch)
 }
 
+// Held takes in a run that held a slot for so many milliseconds without serving
+// its request. It only makes runs look longer: a target that fails quickly isn't
+// faster for it, and would draw all requests if it were taken so. One whose runs
+// fail after a long time has room for as few as one that serves them.
+func (l *Limit) Held(millis float64) {
+	if millis > max(l.run, guessMillis) {
+		l.learn(millis)
+	}
+}
+
+// learn updates the mean: that of all runs as long as they're few, and one that
+// forgets later.
+func (l *Limit) learn(millis float64) {
+	l.runs++
+	l.run += (millis - l.run) * max(1/l.runs, runSmoothing)
+}
+
 // RunMillis returns how long a run takes, on average.
 func (l *Limit) RunMillis() float64 {
 	return l.run
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -64,3 +64,37 @@
 		}
 	}
 }
+
+// A target behind which calls fail holds its slots for long, though the few
+// requests that it serves are short ones. Its line is as long as that.
+func TestRunsThatFailSlowlyCountAsLongOnes(t *testing.T) {
+	l := limit.New(100)
+	l.Observe("short", 1, 0)
+	for range 200 {
+		l.Held(1400)
+	}
+	assert.Assert(t, l.RunMillis() > 1000, "%.0f ms", l.RunMillis())
+}
+
+func TestRunsThatFailQuicklyMakeNoTargetFaster(t *testing.T) {
+	fresh, known := limit.New(100), limit.New(100)
+	for range 100 {
+		known.Observe("long", 200, 0)
+	}
+	for range 200 {
+		fresh.Held(1)
+		known.Held(1)
+	}
+	assert.Equal(t, fresh.RunMillis(), 0.0)
+	assert.Equal(t, known.RunMillis(), 200.0)
+}
+
+// The first run that ends needn't be like the others.
+func TestFewRunsAreWeighedEqually(t *testing.T) {
+	l := limit.New(100)
+	l.Observe("short", 1, 0)
+	for range 9 {
+		l.Observe("long", 500, 0)
+	}
+	assert.Assert(t, l.RunMillis() > 400, "%.0f ms", l.RunMillis())
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -33,7 +33,7 @@
 	failWeight = 4
 	// failPower is how steeply the part of the runs that fail, up to
 	// mostFailing, lowers how often an instance is drawn.
-	failPower   = 3
+	failPower   = 5
 	mostFailing = 0.9
 	// startRunMillis is taken for a run as long as nothing is known.
 	startRunMillis = 20
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -121,14 +121,46 @@
 }
 
 // SetLimit sets how many requests may run at once, and how long a run takes,
-// in milliseconds.
+// in milliseconds. Those that wait in vain are refused.
 func (q *Queue) SetLimit(limit int, runMillis float64) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.limit, q.runMillis = limit, runMillis
+	q.expire()
 	q.next()
 }
 
+// expire refuses those that have become too late, also while no run ends: the
+// target may hang. The mutex is held.
+func (q *Queue) expire() {
+	now := q.clock.Fine()
+	var late line
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		if q.tooLate(w, now) {
+			w.at = -1
+			late = append(late, w)
+			continue
+		}
+		w.at = len(kept)
+		kept = append(kept, w)
+	}
+	if len(late) == 0 {
+		return
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+	heap.Init(&q.waiting)
+	for _, w := range late {
+		w.begin(reason.Overloaded)
+	}
+}
+
+// tooLate tells whether a request that begins now isn't expected to end in time.
+func (q *Queue) tooLate(w *waiter, now float64) bool {
+	return now+q.runMillis/2 > w.due
+}
+
 // Open lets requests in.
 func (q *Queue) Open() {
 	q.mutex.Lock()
@@ -159,7 +191,7 @@
 	now := q.clock.Fine()
 	for q.open && q.running < q.limit && len(q.waiting) > 0 {
 		w := q.pop()
-		if now+q.runMillis/2 > w.due {
+		if q.tooLate(w, now) {
 			w.begin(reason.Overloaded)
 			continue
 		}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -126,3 +126,20 @@
 	q.Shut()
 	assert.DeepEqual(t, began, []string{"early", "late" + string(reason.Leaving)})
 }
+
+// A target that hangs ends no runs. Those that wait for it are told in time.
+func TestWaitingRequestsAreRefusedInTimeWhileNoRunEnds(t *testing.T) {
+	q, advance := open(t, 1, 10)
+	assert.Equal(t, q.Enter(t.Context(), 0, 1000), reason.Reason(""))
+	told := map[int]reason.Reason{}
+	for i, due := range []float64{300, 90, 500, 80, 70, 100} {
+		_, waits := q.Offer(float64(i), due, func(r reason.Reason) { told[i] = r })
+		assert.Assert(t, waits)
+	}
+	advance(99)
+	q.SetLimit(1, 10)
+	assert.DeepEqual(t, told, map[int]reason.Reason{1: reason.Overloaded, 3: reason.Overloaded, 4: reason.Overloaded, 5: reason.Overloaded})
+	running, waiting := q.Load()
+	assert.Equal(t, running, 1)
+	assert.Equal(t, waiting, 2)
+}
