Large fleets: thresholds travel first, and resting nodes don't seem silent

Above 20 peers a card went to 8 random ones with 4 random cards of others, most of them old.

Now cards of others that go along are news, first of targets that can't take all requests, 16 of them while the node rests; a change (target, stop) goes to up to 128 peers at once. Fleets of up to 20 peers send as before.

--- a/card/card.go
+++ b/card/card.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/cutoff"
 	"bergamotloom.example/fact"
 )
 
@@ -63,6 +64,11 @@
 	return c.Sequence > other.Sequence
 }
 
+// Limited tells whether the card's target can't take all requests that need it.
+func (c Card) Limited() bool {
+	return c.Target != "" && !cutoff.Cutoff{Grades: float64(c.Cutoff)}.IsFull()
+}
+
 // Hash returns the short form of a name in a card.
 func Hash(name string) uint32 {
 	return uint32(xxhash.Sum64String(name))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,9 +1,10 @@
 // Package mesh spreads the nodes' cards among them as datagrams.
 //
 // Each node sends its card to all others, or in a large fleet to a few random
-// ones together with a few cards of others. A lost datagram does no harm: the next card
-// says the same and more. Silence proves nothing; those who choose an instance
-// only avoid the silent ones.
+// ones together with cards of others that it has just heard of, first those of
+// targets that can't take all requests. A change goes to all at once. A lost
+// datagram does no harm: the next card says the same and more. Silence proves
+// nothing; those who choose an instance only avoid the silent ones.
 package mesh
 
 import (
@@ -12,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,10 +28,19 @@
 	busyMillis = 100
 	restMillis = 300
 	// direct is how many peers all get each card; in a larger fleet a card goes
-	// to fanout random peers, together with relayed cards of others.
-	direct  = 20
-	fanout  = 8
-	relayed = 4
+	// to fanout random peers, together with cards of others.
+	direct = 20
+	fanout = 8
+	// busyRelayed and restRelayed are how many cards of others go along. Nodes
+	// with work send three times as often.
+	busyRelayed = 4
+	restRelayed = 16
+	// newsMillis is how old a card of another node is that goes along before
+	// older ones, which most nodes have heard by then.
+	newsMillis = 300
+	// mostTold is to how many peers a change goes at once: a card may have some
+	// kilobytes.
+	mostTold = 128
 	// silentMillis is after how long a peer counts as silent; it's asked only
 	// now and then from then on.
 	silentMillis = 1500
@@ -111,34 +122,30 @@
 func (m *Mesh) Run(ctx context.Context) {
 	go m.receive()
 	for ctx.Err() == nil {
-		m.send()
-		rest := restMillis
+		rest, relayed := restMillis, restRelayed
 		if m.busy() {
-			rest = busyMillis
+			rest, relayed = busyMillis, busyRelayed
 		}
+		m.send(fanout, relayed)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rest) * time.Millisecond):
 		}
 	}
 	// The last card says that the node stops.
-	m.send()
+	m.Send()
 	_ = m.socket.Close()
 }
 
-// Send tells the peers the node's state at once.
+// Send tells all peers the node's state at once.
 func (m *Mesh) Send() {
-	m.send()
+	m.send(mostTold, 0)
 }
 
-func (m *Mesh) send() {
-	own := m.own()
-	m.mutex.Lock()
-	m.self.Sequence++
-	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
-	own.Centre, own.Hops = m.self.Centre, m.self.Hops
-	to, cards := m.choose(own)
-	m.mutex.Unlock()
+// send sends the own card, with up to so many of others, to up to so many peers
+// of a large fleet.
+func (m *Mesh) send(peers, relayed int) {
+	to, cards := m.message(m.own(), peers, relayed)
 	text, err := card.Encode(cards)
 	if err != nil {
 		m.log.Error("mesh: a card can't be written", "Error", err.Error())
@@ -150,15 +157,34 @@
 	}
 }
 
-// choose returns who gets the message, and the cards in it.
-func (m *Mesh) choose(own card.Card) ([]netip.AddrPort, []card.Card) {
+// message returns who gets the next message, and the cards in it.
+func (m *Mesh) message(own card.Card, peers, relayed int) ([]netip.AddrPort, []card.Card) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.self.Sequence++
+	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
+	own.Centre, own.Hops = m.self.Centre, m.self.Hops
 	now := m.clock.Now()
+	to, heard := m.look(now)
+	cards := []card.Card{own}
+	if len(heard) > direct {
+		m.random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+		cards = append(cards, relay(heard, relayed, now)...)
+		heard = heard[:min(peers, len(heard))]
+	}
+	for _, p := range heard {
+		to = append(to, p.address)
+	}
+	return to, cards
+}
+
+// look returns the peers that aren't silent, and the addresses of those that
+// should be asked whether they're there. It forgets those that are gone.
+func (m *Mesh) look(now int64) (ask []netip.AddrPort, heard []*peer) {
 	probe := now-m.probedAt >= probeMillis
 	if probe {
 		m.probedAt = now
 	}
-	var to []netip.AddrPort
-	var heard []*peer
 	for id, p := range m.peers {
 		silent := now-p.heardAt > silentMillis
 		switch {
@@ -174,21 +200,28 @@
 		case p.known && !silent:
 			heard = append(heard, p)
 		case probe || !p.known && !silent:
-			to = append(to, p.address)
+			ask = append(ask, p.address)
 		}
 	}
-	cards := []card.Card{own}
-	if len(heard) > direct {
-		m.random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-		for _, p := range heard[fanout:min(fanout+relayed, len(heard))] {
-			cards = append(cards, p.card)
-		}
-		heard = heard[:fanout]
-	}
+	return ask, heard
+}
+
+// relay returns the cards of up to so many peers: first the news that entries
+// wait for, then other news.
+func relay(heard []*peer, count int, now int64) []card.Card {
+	var limited, news, older []card.Card
 	for _, p := range heard {
-		to = append(to, p.address)
+		switch {
+		case now-p.heardAt > newsMillis:
+			older = append(older, p.card)
+		case p.card.Limited():
+			limited = append(limited, p.card)
+		default:
+			news = append(news, p.card)
+		}
 	}
-	return to, cards
+	all := slices.Concat(limited, news, older)
+	return all[:min(count, len(all))]
 }
 
 func (m *Mesh) receive() {
