Rates: a node that joins later doesn't count what was let in before

Cause: cards list only the teams near their limit, all of them in each eighth. A node took the first card of a peer as what was before its time, and counted the teams of a later, fuller card whole: all that the peer had let in since its start. So it refused these teams for about as long as the fleet had run. Now the first count of each team of a node that is older than this one (cards tell for how long it's up) is none of its.

--- a/card/card.go
+++ b/card/card.go
@@ -52,6 +52,8 @@
 	Asked map[uint32]float32 `cbor:"18,keyasint,omitempty"`
 	// Left names the target beside the node that said last that it leaves.
 	Left string `cbor:"19,keyasint,omitempty"`
+	// UpMillis is for how long the node has counted what it let in.
+	UpMillis int64 `cbor:"22,keyasint,omitempty"`
 	// Facts are what the node tells all others once.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -37,6 +37,10 @@
 	// is in which of how many cards all counts are.
 	nearPart = 0.7
 	tellAll  = 8
+	// sameStartMillis is by how much earlier a node may have started than this one
+	// and still count as one of the same start, all of whose counts are new:
+	// longer than a fleet takes to start, and less than a team's burst lasts.
+	sameStartMillis = 3000
 	// leastAsks is the rate below which a team isn't spoken of.
 	leastAsks = 0.05
 	// mostRetryMillis bounds Retry-After.
@@ -49,8 +53,10 @@
 	mutex  sync.Mutex
 	clock  clock.Clock
 	random *rand.Rand
-	told   int
-	full   bool
+	// startedAt is when the node was made, by its clock.
+	startedAt int64
+	told      int
+	full      bool
 	// part of the rates may be used by those that this node hears.
 	part  float64
 	teams map[uint32]*account
@@ -79,6 +85,11 @@
 	admitted    map[uint32]int64
 	asks        map[uint32]float32
 	heardAt     int64
+	// older says that the node let requests in before this one was there: the
+	// first count of each team is none of this node's. Cards don't hold all teams.
+	older bool
+	// stopping says that it stops as planned, so nothing is left to it later.
+	stopping bool
 }
 
 // New returns an empty ration. Full tells that the fleet starts for the first
@@ -86,12 +97,13 @@
 // empty.
 func New(c clock.Clock, full bool, seed uint64) *Ration {
 	return &Ration{
-		clock:  c,
-		random: rand.New(rand.NewPCG(seed, seed+2)),
-		full:   full,
-		part:   1,
-		teams:  make(map[uint32]*account),
-		peers:  make(map[string]*peer),
+		clock:     c,
+		random:    rand.New(rand.NewPCG(seed, seed+2)),
+		startedAt: c.Now(),
+		full:      full,
+		part:      1,
+		teams:     make(map[uint32]*account),
+		peers:     make(map[string]*peer),
 	}
 }
 
@@ -126,7 +138,8 @@
 
 // ownPart returns the part of the rates that this node and those that it hears
 // may use. A silent node may be cut off and serve on, so its part is left to
-// it for a while; a node that hears few of the others keeps to its own part.
+// it for a while, unless it stopped as planned; a node that hears few of the
+// others keeps to its own part.
 func (q *Ration) ownPart() float64 {
 	now := q.clock.Now()
 	heard, silent := 1, 0
@@ -134,26 +147,14 @@
 		switch passed := now - p.heardAt; {
 		case passed <= silentMillis:
 			heard++
-		case passed <= reserveMillis:
+		case passed <= reserveMillis && !p.stopping:
 			silent++
 		}
 	}
 	if heard <= silent {
-		heard = 1
+		return 1 / float64(heard+silent)
 	}
-	return float64(heard) / float64(len(q.peers)+1-q.gone(now))
-}
-
-// gone returns how many peers have been silent for so long that nothing is
-// left to them.
-func (q *Ration) gone(now int64) int {
-	n := 0
-	for _, p := range q.peers {
-		if now-p.heardAt > reserveMillis {
-			n++
-		}
-	}
-	return n
+	return float64(heard) / float64(heard+silent)
 }
 
 // Take takes one request of the team. If it's over its rate, ok is false and
@@ -203,16 +204,21 @@
 	defer q.mutex.Unlock()
 	p, ok := q.peers[c.Peers]
 	if !ok {
-		// What was let in before isn't ours to count: the bucket began then.
-		p = &peer{incarnation: c.Incarnation, admitted: c.Admitted}
+		p = &peer{incarnation: c.Incarnation, older: c.UpMillis > q.clock.Now()-q.startedAt+sameStartMillis}
 		q.peers[c.Peers] = p
 	}
 	if c.Incarnation != p.incarnation {
-		p.incarnation, p.admitted = c.Incarnation, nil
+		p.incarnation, p.admitted, p.older = c.Incarnation, nil, false
 	}
+	p.stopping = c.Stopping
 	now := q.clock.Fine()
 	for team, count := range c.Admitted {
-		if more := count - p.admitted[team]; more > 0 {
+		before, known := p.admitted[team]
+		if !known && p.older {
+			// The bucket began after that.
+			continue
+		}
+		if more := count - before; more > 0 {
 			if a, ok := q.teams[team]; ok {
 				a.fill(now)
 				a.level -= float64(more)
@@ -262,6 +268,7 @@
 func (q *Ration) Describe(c card.Card) card.Card {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	c.UpMillis = q.clock.Now() - q.startedAt
 	c.Admitted = make(map[uint32]int64)
 	c.Asked = make(map[uint32]float32)
 	q.told++
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -32,6 +32,9 @@
 	refused  int
 	// cut lists nodes that neither hear the others nor are heard.
 	cut map[int]bool
+	// stopping lists nodes that say so; gone are those that say nothing more
+	// and get no requests.
+	stopping, gone map[int]bool
 	// lossy is the part of the cards that get lost.
 	lossy float64
 }
@@ -61,6 +64,9 @@
 			if uneven && f.random.Float64() < 0.8 {
 				i = 0
 			}
+			if f.gone[i] {
+				continue
+			}
 			if _, ok := f.nodes[i].Take(f.team.Name); ok {
 				f.admitted = append(f.admitted, f.clock.Fine())
 			} else {
@@ -86,9 +92,9 @@
 	f.serial++
 	for i, from := range f.nodes {
 		from.Tick(cardMillis)
-		c := from.Describe(card.Card{Peers: fmt.Sprint(i), Incarnation: f.lives[i], Sequence: f.serial})
+		c := from.Describe(card.Card{Peers: fmt.Sprint(i), Incarnation: f.lives[i], Sequence: f.serial, Stopping: f.stopping[i]})
 		for j, to := range f.nodes {
-			if j != i && !f.cut[i] && !f.cut[j] && f.random.Float64() >= f.lossy {
+			if j != i && !f.gone[i] && !f.cut[i] && !f.cut[j] && f.random.Float64() >= f.lossy {
 				to.Learn(c)
 			}
 		}
@@ -201,3 +207,35 @@
 	f.run(10_000, 300/1.6, false)
 	assert.Assert(t, float64(f.refused) < 0.01*10*300/1.6, "%d refused", f.refused)
 }
+
+// A node that joins an old fleet hears counts that were made before it was
+// there, some of them with a node's first card and others later.
+func TestNodeThatJoinsLaterRefusesNothingForWhatWasBefore(t *testing.T) {
+	for _, nodes := range []int{15, 83} {
+		f := newFleet(nodes, true, team.Team{Name: "a", Rate: 300, Burst: 300}, 1)
+		f.run(60_000, 300/1.6, false)
+		for i := range 3 {
+			f.restart(i, false)
+		}
+		f.run(1000, 300/1.6, false)
+		f.refused = 0
+		f.run(10_000, 300/1.6, false)
+		assert.Assert(t, float64(f.refused) < 0.001*10*300/1.6, "%d nodes: %d refused", nodes, f.refused)
+	}
+}
+
+// Nothing is left to nodes that stopped as planned, unlike to those that may be
+// cut off.
+func TestPartOfNodesThatStoppedIsUsedByTheOthers(t *testing.T) {
+	const lateMillis = 3000
+	f := newFleet(15, true, team.Team{Name: "a", Rate: 300, Burst: 300}, 1)
+	f.run(2000, 300/1.6, false)
+	f.stopping = map[int]bool{0: true, 3: true, 4: true, 7: true}
+	f.run(1000, 300/1.6, false)
+	f.gone = f.stopping
+	f.run(lateMillis, 300/1.6, false)
+	f.admitted = nil
+	f.run(5000, 1000, false)
+	assert.Assert(t, float64(len(f.admitted)) >= 0.95*300*5, "%d", len(f.admitted))
+	assert.Assert(t, float64(f.most(5000)) <= bound(f.team), "%d", f.most(5000))
+}
