--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -13,7 +13,10 @@
 	"bergamotloom.example/grade"
 )
 
-const largeNodes = 83
+const (
+	largeNodes   = 83
+	largeCentres = 4
+)
 
 // large is a fleet whose messages arrive at once, on a virtual clock.
 type large struct {
@@ -33,13 +36,13 @@
 		t.Cleanup(func() { _ = m.socket.Close() })
 		at, err := netip.ParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+i))
 		assert.NilError(t, err)
-		m.self.Peers = at.String()
+		m.self.Peers, m.self.Centre = at.String(), fmt.Sprint(i%largeCentres)
 		f.nodes = append(f.nodes, m)
 		f.byPort[at] = m
 	}
 	for _, m := range f.nodes {
 		for _, other := range f.nodes {
-			m.take(card.Card{Peers: other.self.Peers})
+			m.take(card.Card{Peers: other.self.Peers, Centre: other.self.Centre})
 		}
 	}
 	return f
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -31,6 +31,8 @@
 	// to fanout random peers, together with cards of others.
 	direct = 20
 	fanout = 8
+	// farFanout of them are in other data centres, to which bytes are dear.
+	farFanout = 3
 	// busyRelayed and restRelayed are how many cards of others go along. Nodes
 	// with work send three times as often.
 	busyRelayed = 6
@@ -172,7 +174,7 @@
 	if len(heard) > direct {
 		m.random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
 		cards = append(cards, relay(heard, relayed, now)...)
-		heard = heard[:min(peers, len(heard))]
+		heard = m.spread(heard, peers)
 	}
 	for _, p := range heard {
 		to = append(to, p.address)
@@ -180,6 +182,24 @@
 	return to, cards
 }
 
+// spread returns up to so many of the peers, few of them in other data centres
+// unless there are few in the own one.
+func (m *Mesh) spread(heard []*peer, count int) []*peer {
+	if count >= len(heard) {
+		return heard
+	}
+	var near, far []*peer
+	for _, p := range heard {
+		if p.card.Centre == m.self.Centre {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	nears := min(len(near), max(count-farFanout, count-len(far)))
+	return slices.Concat(near[:nears], far[:min(count-nears, len(far))])
+}
+
 // look returns the peers that aren't silent, and the addresses of those that
 // should be asked whether they're there. It forgets those that are gone.
 func (m *Mesh) look(now int64) (ask []netip.AddrPort, heard []*peer) {
