--- a/govern/govern.go
+++ b/govern/govern.go
@@ -14,6 +14,7 @@
 	"bergamotloom.example/limit"
 	"bergamotloom.example/pacer"
 	"bergamotloom.example/queue"
+	"bergamotloom.example/state"
 )
 
 const (
@@ -101,22 +102,10 @@
 	g.queue.SetLimit(g.limit.Choose(false, g.clock.Now()), g.limit.RunMillis())
 }
 
-// State is what a step of the decisions went by.
-type State struct {
-	Limit, Running, Waiting int
-	// RunMillis is the mean time of a run, LineMillis that of the whole line.
-	RunMillis, LineMillis float64
-	// Arrived is the work that arrived of each grade, in parts of what the
-	// target could do.
-	Arrived [grade.Count]float64
-	Cutoff  cutoff.Cutoff
-	Failing float64
-}
-
 // Tick adapts the limit and the threshold. It's called ten times a second.
-func (g *Governor) Tick() State {
+func (g *Governor) Tick() state.State {
 	running, waiting := g.queue.Load()
-	s := State{Running: running, Waiting: waiting, Failing: g.failing}
+	s := state.State{Running: running, Waiting: waiting, Failing: g.failing}
 	s.Limit = g.limit.Choose(waiting > 0, g.clock.Now())
 	s.RunMillis = g.limit.RunMillis()
 	g.queue.SetLimit(s.Limit, s.RunMillis)
--- a/govern/govern_test.go
+++ b/govern/govern_test.go
@@ -12,6 +12,7 @@
 	"bergamotloom.example/queue"
 	"bergamotloom.example/rank"
 	"bergamotloom.example/reason"
+	"bergamotloom.example/state"
 )
 
 const (
@@ -24,7 +25,7 @@
 // overload offers a target so many times what it can do, in requests of two
 // ranks by turns, for some seconds of a virtual clock, and returns the governor's
 // last word. Requests that the threshold refuses don't come.
-func overload(demand float64) (govern.State, card.Card) {
+func overload(demand float64) (state.State, card.Card) {
 	c, advance := clock.NewManual(0)
 	q := queue.New(c)
 	g := govern.New(c, q, slots)
@@ -37,7 +38,7 @@
 			ends[c.Now()+runMillis]++
 		}
 	}
-	s := govern.State{Cutoff: govern.New(c, q, slots).Tick().Cutoff}
+	s := state.State{Cutoff: govern.New(c, q, slots).Tick().Cutoff}
 	offered, let := 0.0, [2]float64{}
 	for now := int64(1); now <= seconds*1000; now++ {
 		advance(1)
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,19 @@
+// Package state holds what a step of a gate's decisions went by.
+package state
+
+import (
+	"bergamotloom.example/cutoff"
+	"bergamotloom.example/grade"
+)
+
+// State is a gate's load and what was decided on it, for logs.
+type State struct {
+	Limit, Running, Waiting int
+	// RunMillis is the mean time of a run, LineMillis that of the whole line.
+	RunMillis, LineMillis float64
+	// Arrived is the work that arrived of each grade, in parts of what the
+	// target could do.
+	Arrived [grade.Count]float64
+	Cutoff  cutoff.Cutoff
+	Failing float64
+}
