--- a/dispat/sending.go
+++ b/dispat/sending.go
@@ -64,8 +64,7 @@
 
 // attempt sends the request to one instance.
 func (s *sending) attempt(ctx context.Context, m member.Member, leftMillis int64) reply.Reply {
-	// What goes along is lost if the hop is silent, so the greater part stays.
-	lent, rest := s.allowance.Split(parties)
+	rest, lent := s.allowance.Split(parties)
 	s.allowance = rest
 	e := s.envelope.WithAttempt(leftMillis, lent.Left())
 	got := s.owner.passer.Pass(ctx, m.ID, e, s.body.request(), func() { s.owner.doubt(m) })
--- a/entry/early.go
+++ b/entry/early.go
@@ -40,17 +40,12 @@
 	f.early.Learn(route, team, b.Service, b.Threshold, b.TeamLevel)
 }
 
-// grantPart is the part of the budget that one request may reserve for more
-// than one retry: a few requests that wait on a silent hop would else leave
-// none to the others that wait there.
-const grantPart = 0.1
-
 // grant counts a new request and takes up to n retries from the budget.
 func (f *filter) grant(n int) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.entries.Earn()
-	return f.entries.Grant(min(n, max(int(f.entries.Saved()*grantPart), 1)))
+	return f.entries.Grant(n)
 }
 
 func (f *filter) giveBack(n int) {
