Pieces that stood twice: pauses, plays of a bench, a card's threshold, a fault's server

- pause.For in place of four copies (soak, sidecr, follow, mesh).
- verbs: playAll, printJSON and program serve bench, chains, slopes, cost, soak and demo.
JSON that can't be printed is called so alike.
- card.Threshold serves screen and Limited; the mesh picks among peers and copies only the cards that go along, in place of all of them ten times a second.
- chain: admission.go for all ways to decide at the entry, its field named entry; a kind's uses are worked out once a decision, nodes know their service's place.

--- a/card/card.go
+++ b/card/card.go
@@ -66,9 +66,14 @@
 	return c.Sequence > other.Sequence
 }
 
+// Threshold returns the admission threshold for the roots in Uses.
+func (c Card) Threshold() cutoff.Cutoff {
+	return cutoff.Cutoff{Grades: float64(c.Cutoff), Least: float64(c.Least)}
+}
+
 // Limited tells whether the card's target can't take all requests that need it.
 func (c Card) Limited() bool {
-	return c.Target != "" && !cutoff.Cutoff{Grades: float64(c.Cutoff)}.IsFull()
+	return c.Target != "" && !c.Threshold().IsFull()
 }
 
 // Hash returns the short form of a name in a card.
--- a/chain/admission.go
+++ b/chain/admission.go
@@ -46,20 +46,15 @@
 // byService sums up the nodes' words, in the order of services.
 func (r rooms) byService() []room {
 	all := make([]room, len(services()))
-	index := make(map[string]int)
-	for i, s := range services() {
-		index[s.name] = i
-	}
 	for _, n := range r.world.nodes {
 		// By the nodes' order: sums in the order of a map would differ by run.
 		told, ok := r.words[n.id]
 		if !ok || r.world.loop.Now()-told.heardAt > staleMillis {
 			continue
 		}
-		c := told.card
-		at := &all[index[c.Service]]
-		at.slots += float64(c.Limit)
-		at.line += float64(c.Waiting) * float64(c.RunMillis)
+		at := &all[n.service]
+		at.slots += float64(told.card.Limit)
+		at.line += float64(told.card.Waiting) * float64(told.card.RunMillis)
 	}
 	return all
 }
@@ -99,12 +94,13 @@
 
 // admits may leave a debt, as a share may be less than what one request takes.
 func (s *shares) admits(k kind) bool {
-	for i, use := range k.uses() {
+	uses := k.uses()
+	for i, use := range uses {
 		if use > 0 && s.saved[i] < savedFor[k.rank]*s.most[i] {
 			return false
 		}
 	}
-	for i, use := range k.uses() {
+	for i, use := range uses {
 		s.saved[i] -= use
 	}
 	return true
--- a/chain/node.go
+++ b/chain/node.go
@@ -24,7 +24,7 @@
 	service  int
 	id       string
 	target   target
-	admits   admission
+	entry    admission
 	picker   *picker.Picker
 	queue    *queue.Queue
 	governor *govern.Governor
@@ -44,7 +44,7 @@
 
 func (n *node) start(seed uint64) {
 	c := n.world.loop.Clock()
-	n.admits = n.world.policy.admits(n)
+	n.entry = n.world.policy.admits(n)
 	n.picker = picker.New(c, "", seed)
 	n.queue = queue.New(c)
 	n.governor = govern.New(c, n.queue, n.target.slots)
@@ -76,7 +76,7 @@
 // tick moves the gate's decisions on and returns the node's card.
 func (n *node) tick() card.Card {
 	n.governor.Tick()
-	n.admits.tick()
+	n.entry.tick()
 	n.sequence++
 	return n.card()
 }
@@ -94,7 +94,7 @@
 		root: k.name, grade: k.grade(),
 		goal: e.sentAt + k.goal, due: e.deadline,
 	}
-	if !n.admits.admits(k) {
+	if !n.entry.admits(k) {
 		done(refused, w.retryAfter(e))
 		return
 	}
--- a/chain/world.go
+++ b/chain/world.go
@@ -82,7 +82,7 @@
 		card := n.tick()
 		w.loop.After(hopMillis, func() {
 			for _, other := range w.nodes {
-				other.admits.learn(card)
+				other.entry.learn(card)
 				other.picker.Learn(card)
 			}
 		})
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,6 +15,7 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
 	"bergamotloom.example/feed"
+	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
 )
 
@@ -175,11 +176,7 @@
 	}
 }
 
-// sleep waits for the pause, a little more or less at each node.
-func (f *Follow) sleep(ctx context.Context, pause time.Duration) {
-	pause = pause/2 + rand.N(pause)
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
+// sleep waits about so long, a little more or less at each node.
+func (f *Follow) sleep(ctx context.Context, wait time.Duration) {
+	pause.For(ctx, wait/2+rand.N(wait))
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -21,6 +21,7 @@
 
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/pause"
 )
 
 const (
@@ -131,10 +132,7 @@
 			rest, relayed = busyMillis, busyRelayed
 		}
 		m.send(fanout, relayed)
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(rest) * time.Millisecond):
-		}
+		pause.For(ctx, time.Duration(rest)*time.Millisecond)
 	}
 	// The last card says that the node stops.
 	m.Send()
@@ -231,21 +229,25 @@
 // relay returns the cards of up to so many peers, news first. A third of them or
 // more are of limited targets, as entries wait for these.
 func relay(heard []*peer, count int, now int64) []card.Card {
-	var limited, news, older []card.Card
+	var limited, news, older []*peer
 	for _, p := range heard {
 		switch {
 		case now-p.heardAt > newsMillis:
-			older = append(older, p.card)
+			older = append(older, p)
 		case p.card.Limited():
-			limited = append(limited, p.card)
+			limited = append(limited, p)
 		default:
-			news = append(news, p.card)
+			news = append(news, p)
 		}
 	}
 	fair := count * len(limited) / max(len(limited)+len(news), 1)
 	part := min(max(count/limitedPart, fair), len(limited))
 	all := slices.Concat(limited[:part], news, older)
-	return all[:min(count, len(all))]
+	var cards []card.Card
+	for _, p := range all[:min(count, len(all))] {
+		cards = append(cards, p.card)
+	}
+	return cards
 }
 
 func (m *Mesh) receive() {
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/card"
+	"bergamotloom.example/pause"
 )
 
 const (
@@ -49,11 +50,11 @@
 		n.retry(ctx, "the target that left", func() error { return n.readLeft(ctx) })
 	}
 	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
-	n.sleep(ctx, settlePause)
+	pause.For(ctx, settlePause)
 	n.retry(ctx, "the nodes", func() error { return n.readNodes(ctx) })
 	renewAt := n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
 	for ctx.Err() == nil {
-		n.sleep(ctx, rereadPause+rand.N(rereadPause))
+		pause.For(ctx, rereadPause+rand.N(rereadPause))
 		if n.clock.Now() >= renewAt {
 			renewAt = n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
 			n.retry(ctx, "the node's row", func() error { return n.writeNode(ctx) })
@@ -121,7 +122,7 @@
 
 // retry repeats work until it succeeds, ever less often.
 func (n *Sidecar) retry(ctx context.Context, what string, work func() error) {
-	pause := joinPause
+	wait := joinPause
 	for lost := false; ctx.Err() == nil; {
 		err := work()
 		if err == nil {
@@ -134,15 +135,8 @@
 			n.log.Warn("node: store lost", "For", what, "Error", err.Error())
 		}
 		lost = true
-		n.sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, mostJoinPause)
-	}
-}
-
-func (n *Sidecar) sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
+		pause.For(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, mostJoinPause)
 	}
 }
 
@@ -188,7 +182,7 @@
 	client := &http.Client{Timeout: fetchTimeout}
 	behind := 0
 	for ctx.Err() == nil {
-		n.sleep(ctx, behindMillis*time.Millisecond)
+		pause.For(ctx, behindMillis*time.Millisecond)
 		peer, newest := n.ahead()
 		if peer == "" {
 			behind = 0
--- a/verbs/bench.go
+++ b/verbs/bench.go
@@ -1,14 +1,9 @@
 package verbs
 
 import (
-	"encoding/json"
 	"fmt"
-	"runtime"
 	"slices"
 
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
-
 	"bergamotloom.example/bench"
 )
 
@@ -52,34 +47,16 @@
 func (b *benchmark) play(sizes []string) ([]bench.Outcome, error) {
 	scenarios := orAll(b.Scenarios, bench.Scenarios())
 	policies := orAll(b.Policy, bench.Policies())
-	all := make([]bench.Outcome, len(sizes)*len(scenarios)*len(policies))
-	var g errgroup.Group
-	g.SetLimit(max(runtime.GOMAXPROCS(0)/2, 1))
-	i := 0
-	for _, z := range sizes {
-		for _, n := range scenarios {
-			for _, p := range policies {
-				place := &all[i]
-				i++
-				g.Go(func() error {
-					o, err := bench.Play(n, z, p, b.Seed)
-					*place = o
-					return err
-				})
-			}
-		}
-	}
-	if err := g.Wait(); err != nil {
-		return nil, usageError{err}
-	}
-	return all, nil
+	each := len(scenarios) * len(policies)
+	return playAll(len(sizes)*each, func(i int) (bench.Outcome, error) {
+		scenario, policy := scenarios[i%each/len(policies)], policies[i%len(policies)]
+		return bench.Play(scenario, sizes[i/each], policy, b.Seed)
+	})
 }
 
 func (b *benchmark) print(s *session, sizes []string, all []bench.Outcome) error {
 	if b.JSON {
-		e := json.NewEncoder(s.out)
-		e.SetIndent("", "  ")
-		return errors.Wrap(e.Encode(all), "printing the outcomes")
+		return printJSON(s.out, all)
 	}
 	for _, z := range sizes {
 		fmt.Fprintf(s.out, "Deployment %s, seed %d:\n\n", z, b.Seed)
@@ -90,10 +67,3 @@
 	}
 	return nil
 }
-
-func orAll(chosen, all []string) []string {
-	if len(chosen) == 0 {
-		return all
-	}
-	return chosen
-}
--- a/verbs/chains.go
+++ b/verbs/chains.go
@@ -1,12 +1,7 @@
 package verbs
 
 import (
-	"encoding/json"
 	"fmt"
-	"runtime"
-
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"bergamotloom.example/chain"
 )
@@ -44,9 +39,7 @@
 		}
 	}
 	if c.JSON {
-		e := json.NewEncoder(s.out)
-		e.SetIndent("", "  ")
-		return errors.Wrap(e.Encode(all), "printing the outcomes")
+		return printJSON(s.out, all)
 	}
 	fmt.Fprintf(s.out, "Chains, seed %d:\n\n", c.Seed)
 	chain.WriteTable(s.out, all)
@@ -55,18 +48,7 @@
 
 func (c *chains) play() ([]chain.Outcome, error) {
 	patterns, controls := orAll(c.Patterns, chain.Patterns()), orAll(c.Control, chain.Controls())
-	all := make([]chain.Outcome, len(patterns)*len(controls))
-	var g errgroup.Group
-	g.SetLimit(max(runtime.GOMAXPROCS(0)/2, 1))
-	for i := range all {
-		g.Go(func() error {
-			o, err := chain.Play(patterns[i/len(controls)], controls[i%len(controls)], c.Seed)
-			all[i] = o
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return nil, usageError{err}
-	}
-	return all, nil
+	return playAll(len(patterns)*len(controls), func(i int) (chain.Outcome, error) {
+		return chain.Play(patterns[i/len(controls)], controls[i%len(controls)], c.Seed)
+	})
 }
--- a/verbs/cost.go
+++ b/verbs/cost.go
@@ -29,9 +29,9 @@
 
 // Run measures once and prints the figures.
 func (c *cost) Run(s *session) error {
-	binary, err := os.Executable()
+	binary, err := program()
 	if err != nil {
-		return errors.Wrap(err, "finding the program")
+		return err
 	}
 	folder, err := os.MkdirTemp("", "cost")
 	if err != nil {
--- a/verbs/demo.go
+++ b/verbs/demo.go
@@ -24,9 +24,9 @@
 // Run shows the product at work with processes of this same program, on
 // loopback addresses. It fails if a promise was broken.
 func (r *runDemo) Run(s *session) error {
-	binary, err := os.Executable()
+	binary, err := program()
 	if err != nil {
-		return errors.Wrap(err, "finding this program")
+		return err
 	}
 	directory := r.Keep
 	if directory == "" {
--- a/verbs/slopes.go
+++ b/verbs/slopes.go
@@ -1,8 +1,6 @@
 package verbs
 
 import (
-	"encoding/json"
-
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/slope"
@@ -34,9 +32,7 @@
 		return err
 	}
 	if p.JSON {
-		e := json.NewEncoder(s.out)
-		e.SetIndent("", "  ")
-		return errors.Wrap(e.Encode(r), "printing the report")
+		return printJSON(s.out, r)
 	}
 	return errors.Wrap(r.Write(s.out), "printing the report")
 }
--- a/verbs/soak.go
+++ b/verbs/soak.go
@@ -38,9 +38,9 @@
 	if len(seeds) == 0 {
 		seeds = []uint64{uint64(rand.Uint32())}
 	}
-	binary, err := os.Executable()
+	binary, err := program()
 	if err != nil {
-		return errors.Wrap(err, "finding the program")
+		return err
 	}
 	broken := 0
 	for _, seed := range seeds {
@@ -67,7 +67,7 @@
 	if err != nil {
 		return false, err
 	}
-	got, err := soak.Soak{Binary: binary, Folder: folder, Seed: seed, Lasts: r.Lasts, Machines: r.Machines, Rate: r.Rate, Verbose: true}.Run(s.context)
+	got, err := soak.Soak{Binary: binary, Folder: folder, Seed: seed, Lasts: r.Lasts, Machines: r.Machines, Rate: r.Rate}.Run(s.context)
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d, logs in %s", seed, folder)
 	}
