Gates log and count the rate limit that their target names

Change: advice reads the two headers, with a log line for values that are ignored; named follows the limit; the gate logs each change and puts runs, limit, source and age into its state line and its metrics. Nothing is held back yet.

--- a/dialct/dialct.go
+++ b/dialct/dialct.go
@@ -24,4 +24,9 @@
 	CallSeparator string
 	// Load carries a target's running and waiting requests and its slots.
 	Load string
+	// RateLimit carries the requests per second that a target takes from all
+	// nodes together, in each response for as long as the limit lasts.
+	RateLimit string
+	// Leaving is 1 in the responses of a target that takes no new requests.
+	Leaving string
 }
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -22,6 +22,7 @@
 	"bergamotloom.example/dialct"
 	"bergamotloom.example/govern"
 	"bergamotloom.example/heads"
+	"bergamotloom.example/named"
 	"bergamotloom.example/notice"
 	"bergamotloom.example/output"
 	"bergamotloom.example/parent"
@@ -63,6 +64,9 @@
 	// waitMillis and runMillis record how long requests wait and run.
 	waitMillis metrics.Histogram
 	runMillis  metrics.Histogram
+	// runs counts the requests that were sent to the target.
+	runs     metrics.Counter
+	registry metrics.Registry
 	// heartbeatMillis is the interval between two heartbeats.
 	heartbeatMillis int64
 
@@ -78,13 +82,20 @@
 	lastLeftTarget  string
 	stopping        bool
 	governor        *govern.Governor
-	stateLoggedAt   int64
+	// named is the rate limit of the target.
+	named             *named.Named
+	stateLoggedAt     int64
+	runsLogged        int64
+	limitLoggedAt     int64
+	malformedLoggedAt int64
 }
 
 // New returns the gate of the target at the pool's address, which runs this
 // service. HeartbeatMillis is the interval of the target's heartbeats in
-// milliseconds. The gate admits no request before the first heartbeat.
-func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, log *slog.Logger, registry metrics.Registry) *Gate {
+// milliseconds. FirstStart says that no earlier process of the node can have
+// sent requests to the target. The gate admits no request before the first
+// heartbeat.
+func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, log *slog.Logger, registry metrics.Registry) *Gate {
 	q := queue.New(c)
 	return &Gate{
 		clock:           c,
@@ -98,9 +109,12 @@
 		log:             log,
 		waitMillis:      metrics.GetOrRegisterHistogram("gate.wait.millis", registry, metrics.NewUniformSample(sampleSize)),
 		runMillis:       metrics.GetOrRegisterHistogram("gate.run.millis", registry, metrics.NewUniformSample(sampleSize)),
+		runs:            metrics.GetOrRegisterCounter("gate.runs", registry),
+		registry:        registry,
 		heartbeatMillis: heartbeatMillis,
 		leftStartMillis: make(map[string]int64),
 		governor:        govern.New(c, q, 1),
+		named:           named.New(c, firstStart),
 	}
 }
 
@@ -130,11 +144,12 @@
 	if leftMillis < 1 {
 		return output.Refused(reason.DeadlineExceeded, "at the gate")
 	}
-	return g.run(ctx, r, h, body, writeRest, length, t, target.Target, leftMillis)
+	return g.run(ctx, r, h, body, writeRest, length, t, target, leftMillis)
 }
 
-func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip, target string, leftMillis float64) output.Output {
-	g.setHeaders(h, t, target, leftMillis)
+func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip, target notice.Notice, leftMillis float64) output.Output {
+	g.setHeaders(h, t, target.Target, leftMillis)
+	g.runs.Inc(1)
 	startedAt := g.clock.Fine()
 	deadline := startedAt + leftMillis
 	request := append(heads.AppendHead(nil, r, h, length), body...)
@@ -144,13 +159,14 @@
 	accept := func(response *http.Response) bool { return g.isResponseTo(response, id) }
 	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline) //nolint:bodyclose // readResponse closes it.
 	if err != nil {
-		o := g.noResponse(ctx, target, deadline, sent, err)
+		o := g.noResponse(ctx, target.Target, deadline, sent, err)
 		if o.Reason == reason.InstanceLost {
 			g.crashes.requestLost(t.Fingerprint, startedAt)
 		}
 		g.recordRun(t, o, g.clock.Fine()-startedAt)
 		return o
 	}
+	g.followAdvice(response, target, startedAt)
 	o := g.readResponse(response, done)
 	if o.HasResponse() {
 		g.suspects.ResponseReceived(t.Fingerprint)
@@ -266,8 +282,16 @@
 	s := g.governor.Tick()
 	if now-g.stateLoggedAt >= stateLogMillis && (s.Running > 0 || !s.Cutoff.IsFull()) {
 		g.stateLoggedAt = now
+		runs := g.runs.Count()
+		rate, limited := g.named.Rate()
+		if !limited {
+			rate = 0
+		}
+		limitSource, limitAgeMillis := g.named.Age()
 		g.log.Info("gate: state", "Target", g.target.Target, "Limit", s.Limit, "Running", s.Running, "Waiting", s.Waiting,
-			"RunMillis", s.RunMillis, "LineMillis", s.QueueDelayMillis, "Arrived", s.Arrived, "Cutoff", s.Cutoff.Grades, "Least", s.Cutoff.MinFractionScale, "Failing", s.Failing)
+			"RunMillis", s.RunMillis, "LineMillis", s.QueueDelayMillis, "Arrived", s.Arrived, "Cutoff", s.Cutoff.Grades, "Least", s.Cutoff.MinFractionScale, "Failing", s.Failing,
+			"Runs", runs-g.runsLogged, "RateLimit", rate, "RateLimitSource", limitSource, "RateLimitAgeMillis", limitAgeMillis)
+		g.runsLogged = runs
 	}
 	if g.reachable && !g.target.Leaving && now-g.lastSeenMillis > maxMissedHeartbeats*g.heartbeatMillis {
 		g.reachable = false
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -23,6 +23,9 @@
 	if restarted {
 		g.crashes.targetDied()
 	}
+	if restarted && g.target.Target != "" {
+		g.changeLimit(g.named.Reset)
+	}
 	if restarted || n.Slots != g.governor.Slots() {
 		g.governor.Restart(n.Slots)
 	}
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -12,6 +12,9 @@
 // MetricsPath is the path of the metrics on the metrics port.
 const MetricsPath = "/metrics"
 
+// milli is how many thousandths make a whole: gauges hold whole numbers.
+const milli = 1000
+
 // quantiles are reported for each histogram.
 var quantiles = []float64{0.5, 0.99, 0.999}
 
@@ -53,19 +56,23 @@
 func (n *Sidecar) updateGauges() {
 	running, waiting := n.gate.Load()
 	peers, live := n.mesh.PeerCounts()
+	rateLimit, _, rateLimitAgeMillis := n.gate.RateLimit()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	for name, value := range map[string]int64{
-		"config.version":     n.follow.Version(),
-		"store.calls":        n.follow.Calls(),
-		"gate.running":       int64(running),
-		"gate.waiting":       int64(waiting),
-		"target.connections": n.pool.Opened(),
-		"peers.known":        int64(peers),
-		"peers.heard":        int64(live),
-		"requests.active":    n.active.Load(),
-		"process.heap.bytes": int64(memory.HeapAlloc),
-		"process.goroutines": int64(runtime.NumGoroutine()),
+		"config.version": n.follow.Version(),
+		"store.calls":    n.follow.Calls(),
+		"gate.running":   int64(running),
+		"gate.waiting":   int64(waiting),
+		// In thousandths of a request per second; 0 without a limit.
+		"gate.limit.rate.milli": int64(rateLimit * milli),
+		"gate.limit.age.millis": int64(rateLimitAgeMillis),
+		"target.connections":    n.pool.Opened(),
+		"peers.known":           int64(peers),
+		"peers.heard":           int64(live),
+		"requests.active":       n.active.Load(),
+		"process.heap.bytes":    int64(memory.HeapAlloc),
+		"process.goroutines":    int64(runtime.NumGoroutine()),
 	} {
 		metrics.GetOrRegisterGauge(name, n.registry).Update(value)
 	}
