Gates keep the rate limit that their target names

Callers saw nothing; a target in need got two to three times the requests that it had asked all nodes together for. Cause: no part of the code followed the limit. A gate bounded only how many requests run at once, which says nothing about their rate. Evidence: the gates' lines show the limit within 40 ms of its naming and 100 to 174 runs a second at a limit of 59.3. Change: a target is reached only through the gate beside it, so its gate counts for all nodes: under a limit, each start takes a token. A request that would wait for more than a third of its time is refused there and offered to another target; the queue's order decides who waits. The card tells the limit, so that entries spread load by it, and their thresholds count the free capacity of other targets first. After a restart the node doesn't know the limit: its peers remember it and send it along with each request, and until the first response or such a word only four requests run at once. A limit ends with a run whose response doesn't name it, with another incarnation, or after 10 s without a response.

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -12,6 +12,10 @@
 	"bergamotloom.example/dialct"
 )
 
+// MinRate is the lowest rate limit that is followed, in requests per second:
+// only responses tell that a limit has ended.
+const MinRate = 0.5
+
 const (
 	// maxRateLimit, in requests per second, is far more than any target can take;
 	// a larger value isn't a rate limit.
--- a/card/card.go
+++ b/card/card.go
@@ -64,6 +64,16 @@
 	LeftTarget string `cbor:"19,keyasint,omitempty"`
 	// CountedMillis is the length of time that Admitted covers, in milliseconds.
 	CountedMillis int64 `cbor:"22,keyasint,omitempty"`
+	// RateLimit is the rate limit that the target names, in requests per second
+	// from all nodes together; 0 if it names none. RateLimitAgeMillis is how long
+	// ago it last named it. RateLimitKnown is false while the node can't tell, as
+	// the target hasn't responded since the node's start.
+	RateLimit          float32 `cbor:"23,keyasint,omitempty"`
+	RateLimitAgeMillis int64   `cbor:"24,keyasint,omitempty"`
+	RateLimitKnown     bool    `cbor:"25,keyasint,omitempty"`
+	// TargetStartMillis is the start time of Target by its wall clock, in
+	// milliseconds since 1970; 0 if unknown.
+	TargetStartMillis int64 `cbor:"26,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
@@ -82,6 +92,19 @@
 	return cutoff.Cutoff{Grades: float64(c.Cutoff), MinFractionScale: float64(c.MinFractionScale)}
 }
 
+const millisPerSecond = 1000
+
+// UsableSlots returns how many slots of the target can be in use on average: all
+// of them, or fewer if it names a rate limit. RunMillis is the run time of its
+// requests.
+func (c Card) UsableSlots(runMillis float64) float64 {
+	slots := float64(max(c.Limit, 1))
+	if c.RateLimit <= 0 {
+		return slots
+	}
+	return min(slots, float64(c.RateLimit)*runMillis/millisPerSecond)
+}
+
 // Limited reports whether the target can't run all the requests that need it,
 // so that only some of them are admitted.
 func (c Card) Limited() bool {
--- a/govern/govern.go
+++ b/govern/govern.go
@@ -28,6 +28,7 @@
 	// failingSmoothingFactor is the weight of a new run in the EWMA of failing
 	// runs.
 	failingSmoothingFactor = 0.05
+	millisPerSecond        = 1000
 )
 
 // Governor controls the load of one gate. It isn't safe for concurrent use,
@@ -40,6 +41,12 @@
 	cutoff          cutoff.Cutoff
 	demand          *demand.Demand
 	failingFraction float64
+	// rate is the target's rate limit in requests per second, 0 if it names none.
+	rate float64
+	// lastSlots is the capacity in the last tick, in slots.
+	lastSlots float64
+	// rateChanged says that the rate limit has changed since.
+	rateChanged bool
 }
 
 // New returns the governor of the queue of a target with this many slots.
@@ -62,6 +69,18 @@
 	g.failingFraction = 0
 }
 
+// SetBounds sets the rate limit that the target names, in requests per second, and
+// how many requests may run at once while it isn't known; 0 is no bound.
+func (g *Governor) SetBounds(rate float64, maxRunning int) {
+	if rate == 0 && g.rate > 0 {
+		// The threshold answered to a capacity that has grown by far.
+		g.pacer, g.cutoff = pacer.New(), cutoff.Full()
+	}
+	g.rateChanged = g.rateChanged || rate != g.rate
+	g.rate = rate
+	g.queue.SetBounds(rate, maxRunning)
+}
+
 // Slots returns how many requests the target can run at once.
 func (g *Governor) Slots() int {
 	return g.limit.Slots()
@@ -120,13 +139,37 @@
 	s.Limit = g.limit.Choose(waiting > 0, g.clock.Now())
 	s.RunMillis = g.limit.RunMillis()
 	g.queue.SetLimit(s.Limit, s.RunMillis)
-	s.Arrived = g.demand.Tick(g.clock.Fine(), float64(s.Limit))
-	s.QueueDelayMillis = float64(waiting) * s.RunMillis / float64(s.Limit)
+	slots := g.usableSlots(float64(s.Limit), s.RunMillis)
+	if g.rateChanged && g.rate > 0 && g.lastSlots > 0 {
+		g.pacer.Rescale(g.lastSlots / slots)
+	}
+	g.lastSlots, g.rateChanged = slots, false
+	s.Arrived = g.demand.Tick(g.clock.Fine(), slots)
+	s.QueueDelayMillis = g.queueDelayMillis(waiting, slots, s.RunMillis)
 	g.cutoff = g.pacer.Step(s.Arrived, s.QueueDelayMillis)
 	s.Cutoff = g.cutoff
 	return s
 }
 
+// usableSlots returns how many slots the target needs for as many requests per
+// second as its rate limit admits, but at most limit.
+func (g *Governor) usableSlots(limit, runMillis float64) float64 {
+	if g.rate <= 0 || runMillis <= 0 {
+		return limit
+	}
+	return min(limit, g.rate*runMillis/millisPerSecond)
+}
+
+// queueDelayMillis estimates the time to work off the queue. Under a rate limit
+// one request may always wait for the next token.
+func (g *Governor) queueDelayMillis(waiting int, slots, runMillis float64) float64 {
+	delayMillis := float64(waiting) * runMillis / slots
+	if g.rate > 0 {
+		delayMillis = max(delayMillis, float64(waiting)*millisPerSecond/g.rate) - millisPerSecond/g.rate
+	}
+	return max(delayMillis, 0)
+}
+
 // Describe adds the gate's load, limit and threshold to a node's card.
 func (g *Governor) Describe(c card.Card) card.Card {
 	c.Running, c.Waiting = g.queue.Load()
--- a/inbnd/advice.go
+++ b/inbnd/advice.go
@@ -1,12 +1,15 @@
 package inbnd
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/rcrowley/go-metrics"
 
 	"bergamotloom.example/advice"
+	"bergamotloom.example/card"
 	"bergamotloom.example/notice"
+	"bergamotloom.example/reason"
 )
 
 // malformedLogMillis is the min time between two log lines of malformed headers,
@@ -33,12 +36,24 @@
 	g.changeLimit(func() { g.named.Heard(a, sentMillis, ran) })
 }
 
+// recordSent records that a request is being sent to the target.
+func (g *Gate) recordSent() {
+	g.runs.Inc(1)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.named.Sent()
+}
+
 // changeLimit applies a change to the rate limit of the target, and logs it. The
 // mutex must be held.
 func (g *Gate) changeLimit(change func()) {
 	rateBefore, limitedBefore := g.named.Rate()
+	_, boundedBefore := g.named.MaxRunning()
 	change()
 	rate, limited := g.named.Rate()
+	if _, bounded := g.named.MaxRunning(); limited != limitedBefore || rate != rateBefore || bounded != boundedBefore {
+		g.applyBounds()
+	}
 	if limited == limitedBefore && (!limited || rate == rateBefore) {
 		return
 	}
@@ -54,6 +69,40 @@
 		"WasLimited", limitedBefore, "RateBefore", rateBefore, "Source", source, "AgeMillis", ageMillis)
 }
 
+// applyBounds passes what's known of the rate limit on to the queue. The mutex must
+// be held.
+func (g *Gate) applyBounds() {
+	rate, limited := g.named.Rate()
+	if !limited {
+		rate = 0
+	}
+	maxRunning, bounded := g.named.MaxRunning()
+	if !bounded {
+		maxRunning = 0
+	}
+	g.governor.SetBounds(rate, maxRunning)
+}
+
+// describeLimit adds the rate limit of the target to the node's card. The mutex
+// must be held.
+func (g *Gate) describeLimit(c card.Card) card.Card {
+	if rate, limited := g.named.Rate(); limited {
+		_, ageMillis := g.named.Age()
+		c.RateLimit, c.RateLimitAgeMillis = float32(rate), int64(ageMillis)
+	}
+	_, unknown := g.named.MaxRunning()
+	c.RateLimitKnown = !unknown
+	return c
+}
+
+// refusalDetail describes for logs what the queue refused a request for.
+func (g *Gate) refusalDetail(refusal reason.Reason) string {
+	if rate, source, ageMillis := g.RateLimit(); refusal == reason.Overloaded && rate > 0 {
+		return fmt.Sprintf("at the gate, with a rate limit of %.1f requests per second (source %s, named %.0f ms ago)", rate, source, ageMillis)
+	}
+	return "at the gate"
+}
+
 // logMalformed logs headers of the target that were ignored. The mutex must be
 // held.
 func (g *Gate) logMalformed(target notice.Notice, problems []error) {
@@ -68,6 +117,12 @@
 	}
 }
 
+// RateCosts returns how many requests rate limits of the target have refused and
+// how many they have delayed.
+func (g *Gate) RateCosts() (refused, delayed int64) {
+	return g.queue.RateCosts()
+}
+
 // RateLimit returns the rate limit in force in requests per second, 0 if there is
 // none, its source, and how long ago in milliseconds the target named it.
 func (g *Gate) RateLimit() (rate float64, source string, ageMillis float64) {
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -97,7 +97,7 @@
 // heartbeat.
 func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, log *slog.Logger, registry metrics.Registry) *Gate {
 	q := queue.New(c)
-	return &Gate{
+	g := &Gate{
 		clock:           c,
 		dialect:         dialect,
 		service:         service,
@@ -116,6 +116,8 @@
 		governor:        govern.New(c, q, 1),
 		named:           named.New(c, firstStart),
 	}
+	g.applyBounds()
+	return g
 }
 
 // Do runs a request at the target as soon as a slot is free, and returns its
@@ -124,7 +126,7 @@
 // beginning of the whole body, writeRest writes the rest; else it's nil.
 func (g *Gate) Do(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip) output.Output {
 	arrivedAt := g.clock.Fine()
-	g.countArrival(t)
+	g.recordArrival(t)
 	target, ok := g.current()
 	if !ok || t.Service != g.service {
 		return output.Refused(reason.NoInstance, "no target of the service here")
@@ -132,7 +134,7 @@
 	deadline := arrivedAt + t.LeftMillis
 	startMillis := arrivedAt + sched.StartMillis(t.ObjectiveMillis, t.Grade)
 	if refusal := g.queue.Acquire(ctx, startMillis, deadline); refusal != "" {
-		return output.Refused(refusal, "at the gate")
+		return output.Refused(refusal, g.refusalDetail(refusal))
 	}
 	defer g.queue.Release()
 	g.waitMillis.Update(int64(g.clock.Fine() - arrivedAt))
@@ -149,7 +151,7 @@
 
 func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip, target notice.Notice, leftMillis float64) output.Output {
 	g.setHeaders(h, t, target.Target, leftMillis)
-	g.runs.Inc(1)
+	g.recordSent()
 	startedAt := g.clock.Fine()
 	deadline := startedAt + leftMillis
 	request := append(heads.AppendHead(nil, r, h, length), body...)
@@ -243,11 +245,15 @@
 	return o
 }
 
-// countArrival counts a request in the demand from which the threshold is set.
-func (g *Gate) countArrival(t trip.Trip) {
+// recordArrival counts a request in the demand from which the threshold is set,
+// and takes in the rate limit that its entry knows.
+func (g *Gate) recordArrival(t trip.Trip) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.governor.RecordArrival(t.Grade, t.Root)
+	if t.RateLimit > 0 && t.RateLimitTarget == card.Hash(g.target.Target) {
+		g.changeLimit(func() { g.named.Learn(t.RateLimit, t.RateLimitAgeMillis) })
+	}
 }
 
 // recordRun updates the statistics with the outcome of a run.
@@ -279,6 +285,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
+	g.changeLimit(g.named.Expire)
 	s := g.governor.Tick()
 	if now-g.stateLoggedAt >= stateLogMillis && (s.Running > 0 || !s.Cutoff.IsFull()) {
 		g.stateLoggedAt = now
@@ -288,9 +295,10 @@
 			rate = 0
 		}
 		limitSource, limitAgeMillis := g.named.Age()
+		refused, delayed := g.queue.RateCosts()
 		g.log.Info("gate: state", "Target", g.target.Target, "Limit", s.Limit, "Running", s.Running, "Waiting", s.Waiting,
 			"RunMillis", s.RunMillis, "LineMillis", s.QueueDelayMillis, "Arrived", s.Arrived, "Cutoff", s.Cutoff.Grades, "Least", s.Cutoff.MinFractionScale, "Failing", s.Failing,
-			"Runs", runs-g.runsLogged, "RateLimit", rate, "RateLimitSource", limitSource, "RateLimitAgeMillis", limitAgeMillis)
+			"Runs", runs-g.runsLogged, "RateLimit", rate, "RateLimitSource", limitSource, "RateLimitAgeMillis", limitAgeMillis, "RefusedForRate", refused, "DelayedForRate", delayed)
 		g.runsLogged = runs
 	}
 	if g.reachable && !g.target.Leaving && now-g.lastSeenMillis > maxMissedHeartbeats*g.heartbeatMillis {
@@ -308,8 +316,9 @@
 	if g.reachable && !g.target.Leaving && !g.stopping {
 		c.Target = g.target.Target
 	}
+	c.TargetStartMillis = g.target.BornMillis
 	c.LeftTarget = g.lastLeftTarget
-	return g.governor.Describe(c)
+	return g.governor.Describe(g.describeLimit(c))
 }
 
 // Stop refuses new requests; those that run continue.
--- a/named/named.go
+++ b/named/named.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// MinRate, in requests per second, is admitted even under a lower limit, as
-	// nothing but a response tells that the limit has ended.
-	MinRate = 0.5
 	// confirmMillis is how long a limit holds without a response that names it.
 	// Then the target counts as one whose limit isn't known.
 	confirmMillis = 10_000
@@ -77,7 +74,9 @@
 	case a.Limited:
 		n.known, n.limited, n.rate, n.source = true, true, a.RateLimit, FromTarget
 		n.namedMillis = n.clock.Fine()
-	case a.Malformed || !ran:
+	case !ran:
+	case a.Malformed:
+		n.known = true
 	case sentMillis >= n.namedMillis:
 		n.known, n.limited = true, false
 	}
@@ -105,10 +104,10 @@
 	}
 }
 
-// Rate returns the limit in requests per second, at least MinRate. Limited is
+// Rate returns the limit in requests per second, at least advice.MinRate. Limited is
 // false if there is none.
 func (n *Named) Rate() (rate float64, limited bool) {
-	return max(n.rate, MinRate), n.limited
+	return max(n.rate, advice.MinRate), n.limited
 }
 
 // MaxRunning returns how many requests may run at once while the limit isn't
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -17,6 +17,8 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"bergamotloom.example/advice"
+	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
 	"bergamotloom.example/crash"
@@ -292,7 +294,8 @@
 		q.offers++
 		tried[c.Peers] = true
 		q.peer, q.target = c.Peers, c.Target
-		t := q.trip.WithElapsed(e.clock.Fine() - q.startedAt)
+		t := q.trip.WithElapsed(e.clock.Fine()-q.startedAt).
+			WithRateLimit(card.Hash(c.Target), float64(c.RateLimit), float64(c.RateLimitAgeMillis))
 		if c.Peers == e.self {
 			last = e.gate.Do(q.Context(), q.Request, q.Header, q.body, q.writeRest, q.length, t)
 			e.picker.Done(c.Peers, true)
@@ -301,6 +304,7 @@
 			last, reached = e.hops.Do(q.Context(), c.Peers, c.Hops, q.Request, q.Header, q.body, q.writeRest, q.length, t)
 			e.picker.Done(c.Peers, reached)
 		}
+		e.learnAdvice(c, last)
 		if !e.allowRetry(q, last) {
 			return last
 		}
@@ -310,6 +314,18 @@
 	}
 }
 
+// learnAdvice takes in what a response says about the target of the card. The gate
+// logs headers that it ignores.
+func (e *Entry) learnAdvice(c card.Card, o output.Output) {
+	if !o.HasResponse() {
+		return
+	}
+	a, _ := advice.Read(o.Header, e.headerNames)
+	if a.Limited || c.RateLimit > 0 {
+		e.picker.LearnAdvice(c, a)
+	}
+}
+
 // finish logs the request and responds to the caller.
 func (e *Entry) finish(w http.ResponseWriter, q *request, o output.Output) {
 	e.record(q, o)
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -88,6 +88,14 @@
 	return p.cutoff
 }
 
+// Rescale adapts the estimated demand to another capacity of the target: ratio is
+// the capacity before divided by that from now on.
+func (p *Pacer) Rescale(ratio float64) {
+	for g := range p.demand {
+		p.demand[g] *= ratio
+	}
+}
+
 // moveTowards returns the threshold changed towards the wanted one, by at most
 // maxStepGrades. Beyond the least important grade with demand the threshold has no
 // effect: a current threshold beyond it counts as one just there, and a wanted one
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -48,7 +48,8 @@
 	// defaultRunMillis is the run time of an instance that has reported none yet.
 	defaultRunMillis = 20
 	// candidateCount is the number of random instances drawn for one selection.
-	candidateCount = 2
+	candidateCount  = 2
+	millisPerSecond = 1000
 )
 
 // Picker knows the instances of all services. It's safe for use by multiple
@@ -68,6 +69,8 @@
 type instance struct {
 	card           card.Card
 	lastSeenMillis int64
+	// limit is the rate limit that the target is known to have named.
+	limit namedLimit
 	// sentSinceReport counts this node's requests in flight that were sent since
 	// the instance last reported its load, inFlight all of them.
 	sentSinceReport    int
@@ -103,6 +106,7 @@
 		n.ejectedUntilMillis = 0
 	}
 	n.card, n.lastSeenMillis, n.sentSinceReport = c, p.clock.Now(), 0
+	n.learnLimit(c, n.lastSeenMillis)
 }
 
 func (p *Picker) removeFromService(n *instance) {
@@ -165,7 +169,7 @@
 	}
 	best.sentSinceReport++
 	best.inFlight++
-	return best.card, true
+	return best.limit.describe(best.card, now), true
 }
 
 // Done counts a request to a node as finished. Reached is false if the request
@@ -206,7 +210,7 @@
 
 // weight returns the capacity of the instance, in requests per millisecond, times factors for failing runs and for the data centre.
 func (p *Picker) weight(n *instance) float64 {
-	slots := float64(max(n.card.Limit, 1))
+	slots := n.usableSlots()
 	w := slots / n.runMillis()
 	if n.card.Failing > 0 {
 		w *= math.Pow(1-min(float64(n.card.Failing), maxFailingFraction), failureExponent)
@@ -223,6 +227,9 @@
 	run := n.runMillis() * (1 + failurePenalty*float64(n.card.Failing))
 	wait := max(float64(n.load()+1)/slots, 1)
 	latency := run * (wait + loadLatencyFactor*float64(n.load())/slots)
+	if n.card.RateLimit > 0 {
+		latency += float64(n.card.Waiting+n.sentSinceReport) * millisPerSecond / float64(n.card.RateLimit)
+	}
 	if n.card.Centre != p.centre {
 		latency += crossCentreMillis
 	}
@@ -234,6 +241,12 @@
 	return max(n.card.Running+n.card.Waiting+n.sentSinceReport, n.inFlight)
 }
 
+// usableSlots returns how many slots of the target can be in use, by its rate
+// limit and its own slots.
+func (n *instance) usableSlots() float64 {
+	return n.card.UsableSlots(n.runMillis())
+}
+
 func (n *instance) runMillis() float64 {
 	if n.card.RunMillis <= 0 {
 		return defaultRunMillis
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,7 @@
-// Package queue limits how many requests run at a target at once. Further
-// requests wait and start in the order of the start times that their callers
-// pass, the earliest first.
+// Package queue limits how many requests run at a target at once and, while the
+// target names a rate limit, how many start per second. Further requests wait and
+// start in the order of the start times that their callers pass, the earliest
+// first.
 package queue
 
 import (
@@ -12,6 +13,17 @@
 	"bergamotloom.example/reason"
 )
 
+const (
+	millisPerSecond = 1000
+	// burstMillis is the time whose requests may start at once after a pause,
+	// under a rate limit.
+	burstMillis = 500
+	// limitedWaitFraction is the fraction of the time left that a request may
+	// wait while there is a rate limit. The rest is for another target, or for
+	// the caller to use the refusal.
+	limitedWaitFraction = 1.0 / 3
+)
+
 // Queue is the request queue of one gate. It's safe for concurrent use.
 type Queue struct {
 	mutex        sync.Mutex
@@ -23,6 +35,18 @@
 	lastSequence int64
 	// runMillis is the estimated run time of a request.
 	runMillis float64
+	// maxRunning also limits the running requests, unless it's 0.
+	maxRunning int
+	// ratePerMilli is the rate limit in requests per millisecond, 0 if there is
+	// none. Each start takes one of the tokens, which were last filled at
+	// filledMillis.
+	ratePerMilli float64
+	tokens       float64
+	filledMillis float64
+	// refusedForRate counts the requests that were refused because of the rate
+	// limit, waitedForRate those that started after they had waited for a token.
+	refusedForRate int64
+	waitedForRate  int64
 }
 
 // New returns a closed queue: it refuses all requests until Open is called.
@@ -36,6 +60,10 @@
 	// are in milliseconds of the clock.
 	startMillis    float64
 	deadlineMillis float64
+	// latestStartMillis is until when the request may wait under a rate limit.
+	latestStartMillis float64
+	// waitsForToken says that there was a free slot but no token for the request.
+	waitsForToken bool
 	// sequence keeps requests of the same start time first in, first out.
 	sequence int64
 	// notify is called with the outcome; an empty reason starts the request.
@@ -81,32 +109,110 @@
 	if !q.open {
 		return nil, reason.Leaving
 	}
-	if q.running < q.limit && len(q.waiting) == 0 {
-		q.running++
+	now := q.clock.Fine()
+	q.fillTokens(now)
+	if q.canStart() && len(q.waiting) == 0 {
+		q.start()
 		return nil, ""
 	}
-	if q.clock.Fine()+q.waitMillis(startMillis)+q.runMillis > deadlineMillis {
+	latestStartMillis := now + (deadlineMillis-now)*limitedWaitFraction
+	ahead := q.ahead(startMillis)
+	if now+q.tokenWaitMillis(ahead) > latestStartMillis {
+		q.refusedForRate++
+		return nil, reason.Overloaded
+	}
+	if now+max(q.slotWaitMillis(ahead), q.tokenWaitMillis(ahead))+q.runMillis > deadlineMillis {
 		return nil, reason.Overloaded
 	}
 	q.lastSequence++
-	w := &waiter{startMillis: startMillis, deadlineMillis: deadlineMillis, sequence: q.lastSequence, notify: notify}
+	w := &waiter{
+		startMillis: startMillis, deadlineMillis: deadlineMillis, latestStartMillis: latestStartMillis,
+		waitsForToken: q.ratePerMilli > 0 && q.running < q.slots(), sequence: q.lastSequence, notify: notify,
+	}
 	heap.Push(&q.waiting, w)
 	return w, ""
 }
 
-// waitMillis estimates the queueing delay of a request with this start time
-// behind the requests that are queued before it. It leaves out running ones.
-func (q *Queue) waitMillis(startMillis float64) float64 {
-	if q.limit <= 0 {
-		return 0
-	}
+// ahead returns how many requests are queued before one with this start time.
+func (q *Queue) ahead(startMillis float64) float64 {
 	ahead := 0
 	for _, w := range q.waiting {
 		if w.startMillis <= startMillis {
 			ahead++
 		}
 	}
-	return float64(ahead) * q.runMillis / float64(q.limit)
+	return float64(ahead)
+}
+
+// slotWaitMillis estimates the queueing delay of a request behind so many queued
+// ones. It leaves out running ones.
+func (q *Queue) slotWaitMillis(ahead float64) float64 {
+	if q.limit <= 0 {
+		return 0
+	}
+	return ahead * q.runMillis / float64(q.limit)
+}
+
+// tokenWaitMillis returns when there is a token for a request behind so many
+// queued ones, in milliseconds from now; 0 without a rate limit.
+func (q *Queue) tokenWaitMillis(ahead float64) float64 {
+	if q.ratePerMilli <= 0 {
+		return 0
+	}
+	return max(ahead+1-q.tokens, 0) / q.ratePerMilli
+}
+
+// slots returns how many requests may run at once.
+func (q *Queue) slots() int {
+	if q.maxRunning > 0 {
+		return min(q.limit, q.maxRunning)
+	}
+	return q.limit
+}
+
+// canStart reports whether there is a slot and, under a rate limit, a token for
+// one more request.
+func (q *Queue) canStart() bool {
+	return q.running < q.slots() && (q.ratePerMilli <= 0 || q.tokens >= 1)
+}
+
+func (q *Queue) start() {
+	q.running++
+	if q.ratePerMilli > 0 {
+		q.tokens--
+	}
+}
+
+// fillTokens adds the tokens since the last fill, up to those of burstMillis.
+func (q *Queue) fillTokens(now float64) {
+	filled := q.tokens + (now-q.filledMillis)*q.ratePerMilli
+	q.tokens = min(filled, max(burstMillis*q.ratePerMilli, 1))
+	q.filledMillis = now
+}
+
+// SetBounds sets how many requests may start per second and how many may run at
+// once, besides the limit of SetLimit; 0 is no bound. Under a new rate limit
+// there are no tokens yet.
+func (q *Queue) SetBounds(rate float64, maxRunning int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.clock.Fine()
+	q.fillTokens(now)
+	if q.ratePerMilli <= 0 {
+		q.tokens = 0
+	}
+	q.ratePerMilli, q.maxRunning = rate/millisPerSecond, maxRunning
+	q.fillTokens(now)
+	q.refuseLate()
+	q.startNext()
+}
+
+// RateCosts returns how many requests the rate limits have refused and how many
+// they have delayed, since the queue was created.
+func (q *Queue) RateCosts() (refused, delayed int64) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.refusedForRate, q.waitedForRate
 }
 
 // cancel removes a queued request whose context has ended, or frees its slot if
@@ -121,7 +227,7 @@
 	if r := <-outcome; r != "" {
 		return r
 	}
-	// The request got a slot just as its context ended.
+	// The request got a slot just as its context ended. Its token is lost.
 	q.running--
 	q.startNext()
 	return reason.Cancelled
@@ -155,6 +261,7 @@
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if q.isTooLate(w, now) {
+			q.countLate(w, now)
 			w.index = -1
 			late = append(late, w)
 			continue
@@ -174,10 +281,19 @@
 }
 
 // isTooLate reports whether less than half of the estimated run time is left
-// before the deadline. It's less strict than the check in enqueue, which requires
-// the whole run time.
+// before the deadline, or whether the request has waited too long under a rate
+// limit. It's less strict than the check in enqueue, which requires the whole run
+// time.
 func (q *Queue) isTooLate(w *waiter, now float64) bool {
-	return now+q.runMillis/2 > w.deadlineMillis
+	return now+q.runMillis/2 > w.deadlineMillis || q.ratePerMilli > 0 && now > w.latestStartMillis
+}
+
+// countLate counts a request that is refused as too late if the rate limit is the
+// reason.
+func (q *Queue) countLate(w *waiter, now float64) {
+	if q.ratePerMilli > 0 && now > w.latestStartMillis {
+		q.refusedForRate++
+	}
 }
 
 // Open makes the queue accept requests.
@@ -205,16 +321,22 @@
 	return q.running, len(q.waiting)
 }
 
-// startNext starts queued requests while slots are free. The mutex is held.
+// startNext starts queued requests while there are slots and tokens. The mutex is
+// held.
 func (q *Queue) startNext() {
 	now := q.clock.Fine()
-	for q.open && q.running < q.limit && len(q.waiting) > 0 {
+	q.fillTokens(now)
+	for q.open && len(q.waiting) > 0 && q.canStart() {
 		w := q.pop()
 		if q.isTooLate(w, now) {
+			q.countLate(w, now)
 			w.notify(reason.Overloaded)
 			continue
 		}
-		q.running++
+		if w.waitsForToken {
+			q.waitedForRate++
+		}
+		q.start()
 		w.notify("")
 	}
 }
--- a/screen/screen.go
+++ b/screen/screen.go
@@ -39,6 +39,10 @@
 	// requestsPerMilli is the capacity of the target, with all its slots in use.
 	requestsPerMilli float64
 	cutoff           cutoff.Cutoff
+	// rateLimited says that the target names a rate limit. utilization is the
+	// fraction of its slots that are in use.
+	rateLimited bool
+	utilization float64
 	// rootFractions holds the root routes that use the target, by the hashes of their names.
 	rootFractions  map[uint32]float32
 	lastSeenMillis int64
@@ -72,9 +76,12 @@
 		delete(s.gates, c.Peers)
 		return
 	}
-	requestsPerMilli := float64(max(c.Limit, 1)) / float64(max(c.RunMillis, 1))
+	runMillis := float64(max(c.RunMillis, 1))
+	slots := c.UsableSlots(runMillis)
 	s.gates[c.Peers] = gateState{
-		service: c.Service, requestsPerMilli: requestsPerMilli, cutoff: c.Threshold(), rootFractions: c.RootFractions, lastSeenMillis: s.clock.Now(),
+		service: c.Service, requestsPerMilli: slots / runMillis, cutoff: c.Threshold(),
+		rateLimited: c.RateLimit > 0, utilization: float64(c.Running+c.Waiting) / slots,
+		rootFractions: c.RootFractions, lastSeenMillis: s.clock.Now(),
 	}
 }
 
@@ -114,35 +121,28 @@
 }
 
 // computeFraction returns the smallest admitted fraction among the services that the
-// root uses. That of a service is the mean over its gates, weighted by
-// the capacity of each. A service counts as used if any of its gates
-// lists the root; then all its gates count.
+// root uses. A service counts as used if any of its gates lists the root; then all
+// its gates count.
 func (s *Screen) computeFraction(k cacheKey, now int64) float64 {
-	type sums struct {
-		// admitted and total are in requests per millisecond.
-		admitted, total float64
-		used            bool
-	}
-	services := make(map[string]*sums)
+	services := make(map[string]*capacity)
 	for _, g := range s.gates {
 		if now-g.lastSeenMillis > staleMillis {
 			continue
 		}
-		sum, ok := services[g.service]
+		c, ok := services[g.service]
 		if !ok {
-			sum = &sums{}
-			services[g.service] = sum
+			c = &capacity{}
+			services[g.service] = c
 		}
 		if _, used := g.rootFractions[k.root]; used {
-			sum.used = true
+			c.used = true
 		}
-		sum.admitted += g.cutoff.AdmittedFraction(k.grade) * g.requestsPerMilli
-		sum.total += g.requestsPerMilli
+		c.add(g, k.grade)
 	}
 	smallest := 1.0
-	for _, sum := range services {
-		if sum.used && sum.total > 0 {
-			smallest = min(smallest, sum.admitted/sum.total)
+	for _, c := range services {
+		if c.used && c.total > 0 {
+			smallest = min(smallest, c.admittedFraction())
 		}
 	}
 	return smallest
--- a/screen/screen_test.go
+++ b/screen/screen_test.go
@@ -77,3 +77,30 @@
 	}
 	assert.Assert(t, admitted > 490 && admitted < 610, "%d of 1000 requests admitted", admitted)
 }
+
+// What a rate limit of a target doesn't admit goes to targets with free capacity
+// before anything is refused.
+func TestRateLimitedTargetShedsNothingWhileOthersHaveCapacity(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	s := screen.New(c, 1)
+	limited := gateCard("a", 2, "browse")
+	limited.RateLimit = 500
+	s.Learn(limited)
+	// Half of the 50 slots are free, a capacity of 1250 a second for the 450 that
+	// the other target doesn't take.
+	free := gateCard("b", 9, "browse")
+	free.Running = 25
+	s.Learn(free)
+	assert.Equal(t, s.AdmittedFraction("browse", browseGrade), 1.0)
+	// 2.5 a millisecond at b and 0.05 of 0.5 at a.
+	busy := free
+	busy.Running = 50
+	s.Learn(busy)
+	c, advance := clock.NewManual(0)
+	s = screen.New(c, 1)
+	s.Learn(limited)
+	s.Learn(busy)
+	advance(60)
+	got := s.AdmittedFraction("browse", browseGrade)
+	assert.Assert(t, got > 0.849 && got < 0.851, "%v", got)
+}
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -57,6 +57,7 @@
 	running, waiting := n.gate.Load()
 	peers, live := n.mesh.PeerCounts()
 	rateLimit, _, rateLimitAgeMillis := n.gate.RateLimit()
+	refusedForRate, delayedForRate := n.gate.RateCosts()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	for name, value := range map[string]int64{
@@ -67,6 +68,9 @@
 		// In thousandths of a request per second; 0 without a limit.
 		"gate.limit.rate.milli": int64(rateLimit * milli),
 		"gate.limit.age.millis": int64(rateLimitAgeMillis),
+		"gate.limit.refused":    refusedForRate,
+		"gate.limit.delayed":    delayedForRate,
+		"limits.known":          int64(n.picker.RateLimits()),
 		"target.connections":    n.pool.Opened(),
 		"peers.known":           int64(peers),
 		"peers.heard":           int64(live),
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -33,6 +33,12 @@
 	// Fingerprint is the same for requests with the same method, path, caller and
 	// body. Child calls have none, as the requests that cause them have one.
 	Fingerprint string
+	// RateLimit is the rate limit, in requests per second, that the entry knows of
+	// the selected target; 0 if it knows none. RateLimitAgeMillis is how long ago
+	// the target named it, RateLimitTarget the hash of the target's ID.
+	RateLimit          float64
+	RateLimitAgeMillis float64
+	RateLimitTarget    uint32
 	// LeftMillis is the time left until the deadline.
 	LeftMillis float64
 	// ObjectiveMillis is the time left to the latency objective of the root
@@ -48,11 +54,19 @@
 	Retry bool
 }
 
-const fieldCount = 9
+const (
+	fieldCount = 9
+	// limitSeparator separates the flags from the rate limit, its age and its
+	// target, which are numbers. Older builds only look for the letters of the
+	// flags in the whole field.
+	limitSeparator = ";"
+	limitCount     = 3
+)
 
 // Encode returns the value of the header for the trip: nine fields with commas
 // between them, which are root, grade, service, team, origin, left and objective
-// in milliseconds, flags (i, c, r) and fingerprint. Texts are query-escaped.
+// in milliseconds, flags (i, c, r) with the rate limit if there is one, and
+// fingerprint. Texts are query-escaped.
 func (t Trip) Encode() string {
 	flags := ""
 	if t.Idempotent {
@@ -64,6 +78,14 @@
 	if t.Retry {
 		flags += "r"
 	}
+	if t.RateLimit > 0 {
+		flags = strings.Join([]string{
+			flags,
+			strconv.FormatFloat(t.RateLimit, 'f', 3, 64),
+			strconv.FormatFloat(t.RateLimitAgeMillis, 'f', 0, 64),
+			strconv.FormatUint(uint64(t.RateLimitTarget), 10),
+		}, limitSeparator)
+	}
 	return strings.Join([]string{
 		url.QueryEscape(t.Root),
 		strconv.Itoa(int(t.Grade)),
@@ -98,7 +120,8 @@
 	if errGrade != nil || errLeft != nil || errObjective != nil || requestGrade < 0 || requestGrade >= grade.Count {
 		return Trip{}, errors.Errorf("trip: %q isn't one", value)
 	}
-	return Trip{
+	flags, limit, limited := strings.Cut(fields[7], limitSeparator)
+	t := Trip{
 		Root:            names[0],
 		Grade:           grade.Grade(requestGrade),
 		Service:         names[1],
@@ -107,10 +130,37 @@
 		Fingerprint:     names[4],
 		LeftMillis:      leftMillis,
 		ObjectiveMillis: objectiveMillis,
-		Idempotent:      strings.Contains(fields[7], "i"),
-		Call:            strings.Contains(fields[7], "c"),
-		Retry:           strings.Contains(fields[7], "r"),
-	}, nil
+		Idempotent:      strings.Contains(flags, "i"),
+		Call:            strings.Contains(flags, "c"),
+		Retry:           strings.Contains(flags, "r"),
+	}
+	if !limited {
+		return t, nil
+	}
+	return t.withEncodedLimit(limit)
+}
+
+// withEncodedLimit returns the trip with the rate limit that Encode has written
+// after the flags.
+func (t Trip) withEncodedLimit(encoded string) (Trip, error) {
+	parts := strings.Split(encoded, limitSeparator)
+	if len(parts) != limitCount {
+		return Trip{}, errors.Errorf("trip: %q isn't a rate limit", encoded)
+	}
+	rate, errRate := strconv.ParseFloat(parts[0], 64)
+	ageMillis, errAge := strconv.ParseFloat(parts[1], 64)
+	target, errTarget := strconv.ParseUint(parts[2], 10, 32)
+	if errRate != nil || errAge != nil || errTarget != nil || !(rate > 0) || !(ageMillis >= 0) {
+		return Trip{}, errors.Errorf("trip: %q isn't a rate limit", encoded)
+	}
+	return t.WithRateLimit(uint32(target), rate, ageMillis), nil
+}
+
+// WithRateLimit returns the trip with a rate limit in requests per second that the
+// target with this hash named ageMillis ago; 0 is none.
+func (t Trip) WithRateLimit(targetHash uint32, rate, ageMillis float64) Trip {
+	t.RateLimitTarget, t.RateLimit, t.RateLimitAgeMillis = targetHash, rate, ageMillis
+	return t
 }
 
 // WithElapsed returns the trip after elapsedMillis more have passed.
