Targets whose responses say that they leave get no more requests

Callers saw requests that ended with the target, as a target that announces its end only in its responses went on getting them. Cause: no part of the code read the header. Change: the gate closes at the first such response, tells its peers and records it in the store, as for a heartbeat that says so. Each entry that sees the header or such a card remembers the target with its start time and doesn't pick it again, in touch or not and after a restart of its node; another incarnation is picked.

--- a/card/card.go
+++ b/card/card.go
@@ -71,9 +71,10 @@
 	RateLimit          float32 `cbor:"23,keyasint,omitempty"`
 	RateLimitAgeMillis int64   `cbor:"24,keyasint,omitempty"`
 	RateLimitKnown     bool    `cbor:"25,keyasint,omitempty"`
-	// TargetStartMillis is the start time of Target by its wall clock, in
-	// milliseconds since 1970; 0 if unknown.
+	// TargetStartMillis and LeftStartMillis are the start times of Target and
+	// LeftTarget by their wall clocks, in milliseconds since 1970; 0 if unknown.
 	TargetStartMillis int64 `cbor:"26,keyasint,omitempty"`
+	LeftStartMillis   int64 `cbor:"27,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
--- a/inbnd/advice.go
+++ b/inbnd/advice.go
@@ -34,6 +34,12 @@
 		return
 	}
 	g.changeLimit(func() { g.named.Heard(a, sentMillis, ran) })
+	if a.Leaving && !g.target.Leaving {
+		g.target = g.target.WithLeaving()
+		g.leave("announced in a response")
+		// It records that in the store, which may take long.
+		go g.onLeaving(target.Target)
+	}
 }
 
 // recordSent records that a request is being sent to the target.
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -60,6 +60,7 @@
 	runningRequests *parent.Registry
 	suspects        *crash.Suspects
 	crashes         *crashDetector
+	onLeaving       func(target string)
 	log             *slog.Logger
 	// waitMillis and runMillis record how long requests wait and run.
 	waitMillis metrics.Histogram
@@ -94,8 +95,8 @@
 // service. HeartbeatMillis is the interval of the target's heartbeats in
 // milliseconds. FirstStart says that no earlier process of the node can have
 // sent requests to the target. The gate admits no request before the first
-// heartbeat.
-func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, log *slog.Logger, registry metrics.Registry) *Gate {
+// heartbeat. It calls onLeaving when a response of the target says that it leaves.
+func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, onLeaving func(target string), log *slog.Logger, registry metrics.Registry) *Gate {
 	q := queue.New(c)
 	g := &Gate{
 		clock:           c,
@@ -105,6 +106,7 @@
 		queue:           q,
 		runningRequests: runningRequests,
 		suspects:        suspects,
+		onLeaving:       onLeaving,
 		crashes:         newCrashDetector(c, suspects, log),
 		log:             log,
 		waitMillis:      metrics.GetOrRegisterHistogram("gate.wait.millis", registry, metrics.NewUniformSample(sampleSize)),
@@ -317,7 +319,7 @@
 		c.Target = g.target.Target
 	}
 	c.TargetStartMillis = g.target.BornMillis
-	c.LeftTarget = g.lastLeftTarget
+	c.LeftTarget, c.LeftStartMillis = g.lastLeftTarget, g.leftStartMillis[g.lastLeftTarget]
 	return g.governor.Describe(g.describeLimit(c))
 }
 
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -321,7 +321,7 @@
 		return
 	}
 	a, _ := advice.Read(o.Header, e.headerNames)
-	if a.Limited || c.RateLimit > 0 {
+	if a.Limited || a.Leaving || c.RateLimit > 0 {
 		e.picker.LearnAdvice(c, a)
 	}
 }
--- a/picker/advice.go
+++ b/picker/advice.go
@@ -5,6 +5,10 @@
 	"bergamotloom.example/card"
 )
 
+// unknownStartMillis is for how long a target with an unknown start time counts as
+// leaving. Later it may have restarted under the same ID.
+const unknownStartMillis = 30_000
+
 // namedLimit is a rate limit that a target named. It outlasts the card that told
 // it, as a node that restarts doesn't know the limit of its own target.
 type namedLimit struct {
@@ -16,6 +20,14 @@
 	namedMillis int64
 }
 
+// leftTarget is a target that has announced that it leaves.
+type leftTarget struct {
+	target      string
+	startMillis int64
+	// expiresMillis is when the target isn't excluded any more; 0 is never.
+	expiresMillis int64
+}
+
 // LearnAdvice takes in what a response to a run at the card's target says.
 func (p *Picker) LearnAdvice(c card.Card, a advice.Advice) {
 	p.mutex.Lock()
@@ -31,6 +43,9 @@
 	case !a.Malformed && n.limit.target == c.Target:
 		n.limit = namedLimit{}
 	}
+	if a.Leaving {
+		n.setLeft(c.Target, c.TargetStartMillis, now)
+	}
 }
 
 // learnLimit takes in the rate limit on a card. A card of a node that doesn't know
@@ -53,6 +68,31 @@
 	return c
 }
 
+func (n *instance) learnLeft(c card.Card) {
+	if c.LeftTarget != "" && (c.LeftTarget != n.left.target || c.LeftStartMillis != n.left.startMillis) {
+		n.setLeft(c.LeftTarget, c.LeftStartMillis, n.lastSeenMillis)
+	}
+}
+
+func (n *instance) setLeft(target string, startMillis, now int64) {
+	n.left = leftTarget{target: target, startMillis: startMillis}
+	if startMillis == 0 {
+		n.left.expiresMillis = now + unknownStartMillis
+	}
+}
+
+// includes reports whether the card's target is the one that left, or an earlier
+// one of the same ID.
+func (l leftTarget) includes(c card.Card, now int64) bool {
+	if l.target != c.Target {
+		return false
+	}
+	if l.expiresMillis != 0 || c.TargetStartMillis == 0 {
+		return l.expiresMillis == 0 || now < l.expiresMillis
+	}
+	return c.TargetStartMillis <= l.startMillis
+}
+
 // RateLimits returns the number of targets that are known to name a rate limit.
 func (p *Picker) RateLimits() int {
 	p.mutex.Lock()
--- a/picker/advice_test.go
+++ b/picker/advice_test.go
@@ -85,3 +85,49 @@
 	assert.Equal(t, pickFrom(p).RateLimit, float32(0))
 	p.LearnAdvice(instanceCard("unknown", "a", 20), advice.Advice{Limited: true, RateLimit: 12})
 }
+
+// A target that left isn't picked, even if its node has restarted and doesn't know.
+// Another incarnation of the same ID is.
+func TestTargetThatLeftIsNotPicked(t *testing.T) {
+	for name, leave := range map[string]func(p *picker.Picker, x card.Card){
+		"response": func(p *picker.Picker, x card.Card) { p.LearnAdvice(x, advice.Advice{Leaving: true}) },
+		"card": func(p *picker.Picker, x card.Card) {
+			x.LeftTarget, x.LeftStartMillis, x.Target = x.Target, x.TargetStartMillis, ""
+			p.Learn(x)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, advance := clock.NewManual(1000)
+			p := picker.New(c, "a", 1)
+			x := instanceCard("x", "a", 20)
+			x.TargetStartMillis = 100
+			p.Learn(x)
+			leave(p, x)
+			x.Incarnation = 2
+			p.Learn(x)
+			assert.Equal(t, pickFrom(p).Target, "")
+			advance(3_600_000)
+			p.Learn(x)
+			assert.Equal(t, pickFrom(p).Target, "")
+			x.TargetStartMillis = 200
+			p.Learn(x)
+			assert.Equal(t, pickFrom(p).Target, x.Target)
+		})
+	}
+}
+
+// The cards of older builds have no start times.
+func TestTargetThatLeftIsPickedAgainLaterIfItsStartIsUnknown(t *testing.T) {
+	c, advance := clock.NewManual(1000)
+	p := picker.New(c, "a", 1)
+	x := instanceCard("x", "a", 20)
+	p.Learn(x)
+	p.LearnAdvice(x, advice.Advice{Leaving: true})
+	assert.Equal(t, pickFrom(p).Target, "")
+	advance(29_000)
+	p.Learn(x)
+	assert.Equal(t, pickFrom(p).Target, "")
+	advance(2000)
+	p.Learn(x)
+	assert.Equal(t, pickFrom(p).Target, x.Target)
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -71,6 +71,8 @@
 	lastSeenMillis int64
 	// limit is the rate limit that the target is known to have named.
 	limit namedLimit
+	// left is the last target of the instance that is known to be leaving.
+	left leftTarget
 	// sentSinceReport counts this node's requests in flight that were sent since
 	// the instance last reported its load, inFlight all of them.
 	sentSinceReport    int
@@ -107,6 +109,7 @@
 	}
 	n.card, n.lastSeenMillis, n.sentSinceReport = c, p.clock.Now(), 0
 	n.learnLimit(c, n.lastSeenMillis)
+	n.learnLeft(c)
 }
 
 func (p *Picker) removeFromService(n *instance) {
@@ -141,7 +144,7 @@
 	now := p.clock.Now()
 	healthy, fallback := p.healthy[:0], p.fallback[:0]
 	for _, n := range p.services[service] {
-		if n.card.Target == "" || n.card.Stopping {
+		if n.card.Target == "" || n.card.Stopping || n.left.includes(n.card, now) {
 			continue
 		}
 		switch {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -97,7 +97,7 @@
 	var suspects *crash.Suspects
 	n.facts = facts.New(c, func(key string, value []byte) { suspects.OnFact(key, value) })
 	suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), n.facts.Publish)
-	n.gate = inbnd.New(c, dialect, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, suspects, log, n.registry)
+	n.gate = inbnd.New(c, dialect, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, suspects, n.onLeavingResponse, log, n.registry)
 	n.ration = ration.New(c, p.FirstStart, seed)
 	n.picker = picker.New(c, p.Centre, seed)
 	n.screen = screen.New(c, seed)
@@ -165,6 +165,13 @@
 	n.mesh.Broadcast()
 }
 
+// onLeavingResponse processes a response with which the target announced that it
+// leaves. The gate is closed already.
+func (n *Sidecar) onLeavingResponse(target string) {
+	n.mesh.Broadcast()
+	n.recordLeave(context.Background(), target)
+}
+
 // Ready reports whether callers should send their requests to this node: a
 // configuration is in force, and the node has received a status card or seems
 // to be the only node.
