A leave that the store couldn't record is recorded once it's back

Cause: the row of a target that left was written once, for up to 0.6 s. If the store was away, a later restart of the node opened its gate for a delayed heartbeat. Change: the write goes on in the background until the store has it or another target has left. Result: TestLeaveDuringAStoreOutageIsLostByARestart failed before and passes.

--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -122,6 +122,13 @@
 	g.log.Warn("gate: target can't be reached", "Target", target, "Error", err.Error())
 }
 
+// LastLeft returns the ID of the last target that announced that it leaves.
+func (g *Gate) LastLeft() string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.lastLeftTarget
+}
+
 // StartMillis returns when the target with this ID started, in milliseconds since
 // 1970, 0 if that isn't known.
 func (g *Gate) StartMillis(target string) int64 {
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -119,15 +119,26 @@
 }
 
 // recordLeave records in the store that a target leaves, so that this node
-// knows it after a restart.
+// knows it after a restart. If that fails within recordLeaveTimeout, it goes on in
+// the background.
 func (n *Sidecar) recordLeave(ctx context.Context, target string) {
 	ctx, cancel := context.WithTimeout(ctx, recordLeaveTimeout)
 	defer cancel()
-	if err := n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)})); err != nil {
+	if err := n.writeLeft(ctx, target); err != nil {
 		n.log.Warn("node: recording a leaving target failed", "Target", target, "Error", err.Error())
+		go n.retry(n.requests, "recording a leaving target", func() error { return n.writeLeft(n.requests, target) })
 	}
 }
 
+// writeLeft writes the row of the target that left, unless another one has left
+// since.
+func (n *Sidecar) writeLeft(ctx context.Context, target string) error {
+	if n.gate.LastLeft() != target {
+		return nil
+	}
+	return n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
+}
+
 // retry repeats work with an exponential delay until it succeeds.
 func (n *Sidecar) retry(ctx context.Context, purpose string, work func() error) {
 	delay := minRetryDelay
