Responses without an end are cut off while they are read

Callers of all requests at a node would have lost it: a target that sent a head without an end filled the node's memory until its deadline (1.1 GB in 7 s in the test; a node has 284 MB). Cause: http.ReadResponse doesn't bound a head, and closing the body of a skipped response reads it to its end. Change: a head may have 64 KB, and a skipped body 256 KB; beyond, the connection is closed and the request counts as lost.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -41,6 +42,8 @@
 	// to another request may have up to maxSkippedBytes.
 	maxResponses    = 8
 	maxSkippedBytes = 256 << 10
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxIdle is the max number of idle connections in the pool.
 	maxIdle = 128
 )
@@ -59,6 +62,8 @@
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	// source is what reader reads from.
+	source *headReader
 	// lastUsedMillis is when the last response was read, or the connection
 	// opened.
 	lastUsedMillis int64
@@ -110,7 +115,7 @@
 		restSent = make(chan error, 1)
 		go func() { restSent <- writeRest(c) }()
 	}
-	response, err = readResponse(c.reader, method, matches)
+	response, err = c.readResponse(method, matches)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -140,10 +145,13 @@
 }
 
 // readResponse returns the first final response for which matches is true. It
-// skips interim responses and responses to other requests.
-func readResponse(r *bufio.Reader, method string, matches func(*http.Response) bool) (*http.Response, error) {
+// skips interim responses and responses to other requests. It fails if a head or
+// the body of a response to another request is too long.
+func (c *conn) readResponse(method string, matches func(*http.Response) bool) (*http.Response, error) {
 	for range maxResponses {
-		response, err := http.ReadResponse(r, &http.Request{Method: method})
+		c.source.beginHead()
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.source.endHead()
 		switch {
 		case err != nil:
 			return nil, err
@@ -152,9 +160,14 @@
 		case matches(response):
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
+		if err != nil {
 			return nil, err
 		}
+		if skipped == maxSkippedBytes {
+			// Closing the body would read it to its end.
+			return nil, errors.New("an answer to another request is too long")
+		}
 		_ = response.Body.Close()
 	}
 	return nil, errors.New("too many answers that belong to other requests")
@@ -198,7 +211,8 @@
 		return nil, errors.Wrap(err, "connecting")
 	}
 	p.opened.Add(1)
-	c := &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readerBytes)}
+	source := &headReader{source: opened}
+	c := &conn{Conn: opened, reader: bufio.NewReaderSize(source, readerBytes), source: source}
 	if tcp, ok := opened.(*net.TCPConn); ok {
 		c.raw, err = tcp.SyscallConn()
 	}
@@ -219,6 +233,21 @@
 	return nil
 }
 
+// CloseUnusable closes the idle connections that were idle for too long, that the
+// server has closed, or that received bytes which belong to no request.
+func (p *Conns) CloseUnusable() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.clock.Now()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if now-c.lastUsedMillis < c.idleMillis && c.isIdle() {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+}
+
 // isIdle reports whether the connection is open and has no bytes to read.
 func (c *conn) isIdle() bool {
 	idle := false
