The rest of a long refusal isn't read as the next response

Callers could get an answer that wasn't their own: of a refusal, 64 KB were read and the connection was used again, so that later bytes of that body counted as the next response, if they looked like one. Cause: the connection went back to the pool without the end of the body. Change: it's closed unless the body ended. Result: TestRestOfALongRefusalIsReadAsTheNextResponse failed before and passes; tests of second copies, endless refusals and garbage, and malformed headers passed already.

--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -232,8 +232,9 @@
 // readResponse reads the response, or the beginning of a long one.
 func (g *Gate) readResponse(response *http.Response, done func(complete bool)) output.Output {
 	if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(g.dialect.NotExecuted) != "" {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-		done(err == nil)
+		read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+		// What follows in a longer body would be read as the next response.
+		done(err == nil && read < maxRefusalBytes)
 		return output.Refused(reason.TargetRefused, "the target answered "+strconv.Itoa(response.StatusCode)+" without a run")
 	}
 	if response.Header.Get(g.dialect.Signature) == "" || response.Header.Get("Content-Encoding") != "" {
