Gates close idle connections that receive bytes of no request

Cause: bytes that follow a complete response were found only when the connection was used again; without another request it stayed open and its socket buffer full. Change: each gate checks its idle connections once a second.

--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -41,6 +41,8 @@
 	// stateLogMillis is the minimum time between two log lines of the gate's
 	// state.
 	stateLogMillis = 1000
+	// closeUnusableMillis is the time between two checks of the idle connections.
+	closeUnusableMillis = 1000
 	// probeTimeout bounds the wait of a probe: a target on the same instance
 	// accepts or refuses a connection within milliseconds.
 	probeTimeout = 200 * time.Millisecond
@@ -89,6 +91,7 @@
 	runsLogged        int64
 	limitLoggedAt     int64
 	malformedLoggedAt int64
+	closedUnusableAt  int64
 }
 
 // New returns the gate of the target at the pool's address, which runs this
@@ -285,6 +288,7 @@
 	if g.crashes.shouldProbe() {
 		go g.probe()
 	}
+	g.closeUnusable()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
@@ -311,6 +315,20 @@
 	}
 }
 
+// closeUnusable closes idle connections that can't be used again, every
+// closeUnusableMillis.
+func (g *Gate) closeUnusable() {
+	g.mutex.Lock()
+	due := g.clock.Now()-g.closedUnusableAt >= closeUnusableMillis
+	if due {
+		g.closedUnusableAt = g.clock.Now()
+	}
+	g.mutex.Unlock()
+	if due {
+		g.pool.CloseUnusable()
+	}
+}
+
 // Describe adds the gate's state to the node's card.
 func (g *Gate) Describe(c card.Card) card.Card {
 	g.mutex.Lock()
--- a/inbnd/response_test.go
+++ b/inbnd/response_test.go
@@ -33,7 +33,7 @@
 
 // newGateTo returns the open gate of a target that handles each connection with
 // this function.
-func newGateTo(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) (*inbnd.Gate, *conns.Conns) {
+func newGateTo(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *inbnd.Gate {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -54,7 +54,7 @@
 	pool := conns.New(l.Addr().String(), c, 10_000)
 	g := inbnd.New(c, dialect, "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", func(string, int64, []byte, int64) {}), func(string) {}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	g.HandleHeartbeat(heartbeat("a", 100, 1))
-	return g, pool
+	return g
 }
 
 // do sends a request with this ID to the gate.
@@ -80,7 +80,7 @@
 func TestRestOfALongRefusalIsReadAsTheNextResponse(t *testing.T) {
 	const bufferedBytes = 64 << 10
 	forged := signed("b", "forged")
-	g, _ := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
 		for {
 			request, err := http.ReadRequest(r)
 			if err != nil {
@@ -105,7 +105,7 @@
 // and ends with the connection.
 func TestEndlessBodyOfARefusalKeepsTheConnection(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	g, _ := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
@@ -129,7 +129,7 @@
 
 // Bytes without end that are no response: the request may have run.
 func TestEndlessGarbageIsReportedAsARequestThatMayHaveRun(t *testing.T) {
-	g, _ := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
 		_, err := http.ReadRequest(r)
 		for err == nil {
 			_, err = c.Write(make([]byte, 32<<10))
@@ -145,7 +145,7 @@
 // A second copy of a response that arrives late, when the connection is in use
 // again, belongs to no request.
 func TestSecondCopyOfAResponseIsNotTheNextResponse(t *testing.T) {
-	g, _ := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
 		var last string
 		for {
 			request, err := http.ReadRequest(r)
@@ -166,7 +166,7 @@
 
 func TestMalformedHeadersOfATargetCostNothingElse(t *testing.T) {
 	values := []string{"Server-Limit: -1\r\n", "Server-Limit: many\r\n", "Server-Limit: 5\r\nServer-Limit: 6\r\n", "Server-Leaving: yes\r\n", "Server-Leaving: 1\r\nServer-Leaving: 1\r\n"}
-	g, _ := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
 		for i := 0; ; i++ {
 			request, err := http.ReadRequest(r)
 			if err != nil {
@@ -183,3 +183,29 @@
 	assert.Equal(t, rate, 0.0)
 	assertTarget(t, g, "a")
 }
+
+// Bytes that arrive after a complete response close the connection, also if no other
+// request comes.
+func TestIdleConnectionWithEndlessBytesStaysOpen(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	g := newGateTo(t, func(c net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, signed(request.Header.Get("Request-Id"), "ok"))
+		time.Sleep(100 * time.Millisecond)
+		for err == nil {
+			_, err = c.Write(make([]byte, 32<<10))
+		}
+		closed <- struct{}{}
+	})
+	assert.Equal(t, string(do(t, g, "a", 1000).Body), "ok")
+	time.Sleep(200 * time.Millisecond)
+	g.Tick()
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
