Cards and trips with impossible values are dropped

Cause: a card with a run time that isn't a number made all weights of its service meaningless at every node that got it, and a negative count went into team rates. Change: decoding drops such cards, and rejects trips whose times aren't finite.

--- a/card/card.go
+++ b/card/card.go
@@ -3,6 +3,10 @@
 package card
 
 import (
+	"maps"
+	"math"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -123,9 +127,23 @@
 	return message, errors.Wrap(err, "card")
 }
 
-// Decode decodes a message of cards. It fails if the message is malformed.
+// Decode decodes a message of cards. It drops cards with impossible values, which
+// would spoil sums over all nodes. It fails if the message is malformed.
 func Decode(message []byte) ([]Card, error) {
 	var cards []Card
-	err := cbor.Unmarshal(message, &cards)
-	return cards, errors.Wrap(err, "card")
+	if err := cbor.Unmarshal(message, &cards); err != nil {
+		return nil, errors.Wrap(err, "card")
+	}
+	return slices.DeleteFunc(cards, func(c Card) bool { return !c.isPossible() }), nil
+}
+
+// isPossible reports whether all numbers of the card are finite and none is
+// negative where a sound node never sends one.
+func (c Card) isPossible() bool {
+	rates := slices.Concat([]float32{c.RunMillis, c.Failing, c.Cutoff, c.MinFractionScale, c.RateLimit},
+		slices.Collect(maps.Values(c.RootFractions)), slices.Collect(maps.Values(c.DemandRates)))
+	counts := slices.Concat([]int64{int64(c.Limit), int64(c.Running), int64(c.Waiting), c.RateLimitAgeMillis, c.CountedMillis},
+		slices.Collect(maps.Values(c.Admitted)))
+	return !slices.ContainsFunc(rates, func(r float32) bool { return !(r >= 0) || r > math.MaxFloat32 }) &&
+		!slices.ContainsFunc(counts, func(n int64) bool { return n < 0 })
 }
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -3,6 +3,7 @@
 package trip
 
 import (
+	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -117,7 +118,7 @@
 	requestGrade, errGrade := strconv.Atoi(fields[1])
 	leftMillis, errLeft := strconv.ParseFloat(fields[5], 64)
 	objectiveMillis, errObjective := strconv.ParseFloat(fields[6], 64)
-	if errGrade != nil || errLeft != nil || errObjective != nil || requestGrade < 0 || requestGrade >= grade.Count {
+	if errGrade != nil || errLeft != nil || errObjective != nil || !isFinite(leftMillis) || !isFinite(objectiveMillis) || requestGrade < 0 || requestGrade >= grade.Count {
 		return Trip{}, errors.Errorf("trip: %q isn't one", value)
 	}
 	flags, limit, limited := strings.Cut(fields[7], limitSeparator)
@@ -150,12 +151,16 @@
 	rate, errRate := strconv.ParseFloat(parts[0], 64)
 	ageMillis, errAge := strconv.ParseFloat(parts[1], 64)
 	target, errTarget := strconv.ParseUint(parts[2], 10, 32)
-	if errRate != nil || errAge != nil || errTarget != nil || !(rate > 0) || !(ageMillis >= 0) {
+	if errRate != nil || errAge != nil || errTarget != nil || rate <= 0 || ageMillis < 0 || !isFinite(rate) || !isFinite(ageMillis) {
 		return Trip{}, errors.Errorf("trip: %q isn't a rate limit", encoded)
 	}
 	return t.WithRateLimit(uint32(target), rate, ageMillis), nil
 }
 
+func isFinite(f float64) bool {
+	return !math.IsNaN(f) && !math.IsInf(f, 0)
+}
+
 // WithRateLimit returns the trip with a rate limit in requests per second that the
 // target with this hash named ageMillis ago; 0 is none.
 func (t Trip) WithRateLimit(targetHash uint32, rate, ageMillis float64) Trip {
--- a/trip/trip_test.go
+++ b/trip/trip_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestMalformedHeadersAreRejected(t *testing.T) {
-	for _, value := range []string{"", "a", "a,1,b,c,d,e,f,g", "a,9,s,t,o,1,1,", "a,-1,s,t,o,1,1,", "a,x,s,t,o,1,1,", "%zz,1,s,t,o,1,1,", "a,1,s,t,o,1,1,i;5,f", "a,1,s,t,o,1,1,i;x;1;1,f", "a,1,s,t,o,1,1,i;NaN;1;1,f", "a,1,s,t,o,1,1,i;5;-1;1,f"} {
+	for _, value := range []string{"", "a", "a,1,b,c,d,e,f,g", "a,9,s,t,o,1,1,", "a,-1,s,t,o,1,1,", "a,x,s,t,o,1,1,", "%zz,1,s,t,o,1,1,", "a,1,s,t,o,NaN,1,,f", "a,1,s,t,o,1,Inf,,f", "a,1,s,t,o,1,1,i;5,f", "a,1,s,t,o,1,1,i;x;1;1,f", "a,1,s,t,o,1,1,i;NaN;1;1,f", "a,1,s,t,o,1,1,i;5;-1;1,f"} {
 		_, err := trip.Decode(value)
 		assert.Assert(t, err != nil, value)
 	}
