--- a/picker/advice.go
+++ b/picker/advice.go
@@ -93,6 +93,22 @@
 	return c.TargetStartMillis <= l.startMillis
 }
 
+// withoutRateLimit returns the instances whose targets name no rate limit, or all of
+// them if there are none. It reorders the slice.
+func withoutRateLimit(candidates []*instance) []*instance {
+	count := 0
+	for i, n := range candidates {
+		if n.card.RateLimit <= 0 {
+			candidates[count], candidates[i] = candidates[i], candidates[count]
+			count++
+		}
+	}
+	if count == 0 {
+		return candidates
+	}
+	return candidates[:count]
+}
+
 // RateLimits returns the number of targets that are known to name a rate limit.
 func (p *Picker) RateLimits() int {
 	p.mutex.Lock()
--- a/picker/advice_test.go
+++ b/picker/advice_test.go
@@ -1,6 +1,7 @@
 package picker_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -40,6 +41,27 @@
 	assert.Assert(t, counts["limited"] > 200 && counts["limited"] < 1500, "%v", counts)
 }
 
+// Whatever the number of limited targets, a request that one of them didn't admit is
+// offered to a target without a limit before it's refused.
+func TestRequestBeyondARateLimitGoesToATargetWithoutOne(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	p := picker.New(c, "a", 1)
+	for i := range 20 {
+		limited := instanceCard(fmt.Sprintf("limited-%d", i), "a", 20)
+		limited.RateLimit = 2000
+		p.Learn(limited)
+	}
+	p.Learn(instanceCard("free", "b", 20))
+	for range 100 {
+		got, ok := p.Pick("stock", map[string]bool{"limited-0": true})
+		assert.Assert(t, ok)
+		assert.Equal(t, got.Peers, "free")
+	}
+	got, ok := p.Pick("stock", map[string]bool{"limited-0": true, "free": true})
+	assert.Assert(t, ok)
+	assert.Assert(t, got.RateLimit > 0)
+}
+
 // A node that has restarted doesn't know the limit of its target, until the target
 // responds. Its peers go on telling it.
 func TestRateLimitIsRememberedAcrossARestartOfTheNode(t *testing.T) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -137,7 +137,8 @@
 
 // Pick selects an instance of the service for the next request, counts the
 // request as sent there and returns the instance's card. Instances in tried are
-// excluded; ok is false if there is no other.
+// excluded; ok is false if there is no other. If there are any, only an instance
+// without a rate limit is selected, unless all others have one.
 func (p *Picker) Pick(service string, tried map[string]bool) (c card.Card, ok bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -163,6 +164,9 @@
 	if len(candidates) == 0 {
 		return card.Card{}, false
 	}
+	if len(tried) > 0 {
+		candidates = withoutRateLimit(candidates)
+	}
 	sums := p.cumulativeWeights(candidates)
 	best := p.draw(candidates, sums)
 	for range candidateCount - 1 {
