Bounded log lines of rate limits; cards of rate-limited targets are relayed first

Cause: a target that names a limit in every other response would have caused a line for each; in a fleet of more than 20 peers, entries heard of limits later than of thresholds. Change: ten lines a second at most for limits that begin or end; Card.Limited includes rate limits.

--- a/card/card.go
+++ b/card/card.go
@@ -110,10 +110,10 @@
 	return min(slots, float64(c.RateLimit)*runMillis/millisPerSecond)
 }
 
-// Limited reports whether the target can't run all the requests that need it,
-// so that only some of them are admitted.
+// Limited reports whether the target can't run all the requests that need it, so
+// that only some of them are admitted, or whether it names a rate limit.
 func (c Card) Limited() bool {
-	return c.Target != "" && !c.Threshold().IsFull()
+	return c.Target != "" && (!c.Threshold().IsFull() || c.RateLimit > 0)
 }
 
 // Hash returns the hash by which a card refers to a name.
--- a/inbnd/advice.go
+++ b/inbnd/advice.go
@@ -12,9 +12,14 @@
 	"bergamotloom.example/reason"
 )
 
-// malformedLogMillis is the min time between two log lines of malformed headers,
-// which a target may send with every response.
-const malformedLogMillis = 1000
+// A target may name another limit in each response, and send malformed headers with
+// each: these are the min times between two log lines of a limit that begins or
+// ends, and of malformed headers. A limit whose rate changes is logged every
+// stateLogMillis at most.
+const (
+	limitLogMillis     = 100
+	malformedLogMillis = 1000
+)
 
 // followAdvice follows what the headers of a response of the target say. The
 // request was sent at sentMillis.
@@ -65,8 +70,11 @@
 	}
 	metrics.GetOrRegisterCounter("gate.limit.changes", g.registry).Inc(1)
 	now := g.clock.Now()
-	if limited == limitedBefore && now-g.limitLoggedAt < stateLogMillis {
-		// A target may name a slightly different limit in every response.
+	intervalMillis := int64(limitLogMillis)
+	if limited == limitedBefore {
+		intervalMillis = stateLogMillis
+	}
+	if g.limitLoggedAt != 0 && now-g.limitLoggedAt < intervalMillis {
 		return
 	}
 	g.limitLoggedAt = now
--- a/inbnd/response_test.go
+++ b/inbnd/response_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -34,6 +36,12 @@
 // newGateTo returns the open gate of a target that handles each connection with
 // this function.
 func newGateTo(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *inbnd.Gate {
+	t.Helper()
+	return newLoggingGateTo(t, io.Discard, handle)
+}
+
+// newLoggingGateTo is newGateTo with a writer for the gate's log.
+func newLoggingGateTo(t *testing.T, log io.Writer, handle func(c net.Conn, r *bufio.Reader)) *inbnd.Gate {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -52,11 +60,30 @@
 	}()
 	c := clock.New()
 	pool := conns.New(l.Addr().String(), c, 10_000)
-	g := inbnd.New(c, dialect, "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", func(string, int64, []byte, int64) {}), func(string) {}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	g := inbnd.New(c, dialect, "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", func(string, int64, []byte, int64) {}), func(string) {}, slog.New(slog.NewJSONHandler(log, nil)), metrics.NewRegistry())
 	g.HandleHeartbeat(heartbeat("a", 100, 1))
 	return g
 }
 
+// tickGate calls Tick as often as a node does, until the test ends.
+func tickGate(t *testing.T, g *inbnd.Gate) {
+	t.Helper()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				g.Tick()
+			}
+		}
+	}()
+}
+
 // do sends a request with this ID to the gate.
 func do(t *testing.T, g *inbnd.Gate, id string, leftMillis float64) output.Output {
 	t.Helper()
@@ -209,3 +236,27 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// The gate logs what a target says about its rate limit, in a bounded number of lines.
+func TestLogLinesOfALimitThatChangesWithEachResponseAreBounded(t *testing.T) {
+	var log bytes.Buffer
+	limits := []string{"Server-Limit: 500\r\n", "", "Server-Limit: many\r\n", "Server-Limit: 900\r\n", ""}
+	g := newLoggingGateTo(t, &log, func(c net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, strings.Replace(signed(request.Header.Get("Request-Id"), "ok"), "\r\n", "\r\n"+limits[i%len(limits)], 1))
+		}
+	})
+	tickGate(t, g)
+	began := time.Now()
+	for i := range 200 {
+		do(t, g, fmt.Sprintf("r%d", i), 1000)
+	}
+	seconds := int(time.Since(began).Seconds()) + 1
+	changes, malformed := strings.Count(log.String(), "gate: rate limit of the target"), strings.Count(log.String(), "gate: ignored a malformed header")
+	assert.Assert(t, changes > 0 && changes <= 10*seconds, "%d lines in %d s", changes, seconds)
+	assert.Assert(t, malformed > 0 && malformed <= seconds, "%d lines in %d s", malformed, seconds)
+}
