Outcomes of claims share transactions also when they come one by one

Cause: the writer of outcomes took what was there and wrote it at once; under load each of 64 outcomes came alone, and with claims and resends that made 128 to 133 transactions. Change: it waits 2 ms for others, as the writer of claims does. Callers don't wait for outcomes.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -262,6 +262,9 @@
 		if !ok {
 			return
 		}
+		// Nobody waits for the row, and those of requests that end soon after go
+		// along with it.
+		pause.For(ctx, batchWaitMillis*time.Millisecond)
 		batch := append([]claim.Claim{first}, c.pendingOutcomes.TakeUpTo(maxBatchSize-1)...)
 		if c.writeOutcomes(ctx, batch) {
 			continue
