One background task at a time records that a target left

Cause: while the store is away, each heartbeat of a leaving target that couldn't be recorded started another task that tried again. Change: one task writes the row of the target that left last. Result: TestLeaveDuringAStoreOutageIsLostByARestart and the other tests of leaving pass.

--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -124,9 +124,16 @@
 func (n *Sidecar) recordLeave(ctx context.Context, target string) {
 	ctx, cancel := context.WithTimeout(ctx, recordLeaveTimeout)
 	defer cancel()
-	if err := n.writeLeft(ctx, target); err != nil {
-		n.log.Warn("node: recording a leaving target failed", "Target", target, "Error", err.Error())
-		go n.retry(n.requests, "recording a leaving target", func() error { return n.writeLeft(n.requests, target) })
+	err := n.writeLeft(ctx, target)
+	if err == nil {
+		return
+	}
+	n.log.Warn("node: recording a leaving target failed", "Target", target, "Error", err.Error())
+	if n.recordingLeave.CompareAndSwap(false, true) {
+		go func() {
+			defer n.recordingLeave.Store(false)
+			n.retry(n.requests, "recording a leaving target", func() error { return n.writeLeft(n.requests, n.gate.LastLeft()) })
+		}()
 	}
 }
 
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -75,9 +75,12 @@
 	// startedMillis is when the node was created, by its clock.
 	startedMillis int64
 	// requests is the parent context of all requests; endRequests cancels it.
-	requests          context.Context
-	endRequests       context.CancelCauseFunc
-	stopping          atomic.Bool
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	stopping    atomic.Bool
+	// recordingLeave is true while a background task records that the last target
+	// left.
+	recordingLeave    atomic.Bool
 	active            atomic.Int64
 	lastRequestMillis atomic.Int64
 	group             sync.WaitGroup
