A moment of full use doesn't refuse what a rate limit sheds

Callers saw 3 of 3,668 requests refused at the entry, while the one target without a limit was used to 63% on average. Cause: the entries took the free capacity from the last card alone; one with 8 of 8 slots in use left none for what the limited target didn't admit. Change: the utilization is averaged over the cards. Result: TestMomentOfFullUseDoesNotRefuseWhatARateLimitSheds failed before and passes.

--- a/screen/screen.go
+++ b/screen/screen.go
@@ -23,6 +23,9 @@
 	staleMillis = 1000
 	// cacheMillis is how long an admitted fraction is cached.
 	cacheMillis = 50
+	// utilizationSmoothingFactor is the weight of a new card in the EWMA of the
+	// utilization: single cards of a target with few slots often show all in use.
+	utilizationSmoothingFactor = 0.2
 )
 
 // Screen holds the thresholds of all gates. It's safe for use by multiple goroutines.
@@ -39,8 +42,8 @@
 	// requestsPerMilli is the capacity of the target, with all its slots in use.
 	requestsPerMilli float64
 	cutoff           cutoff.Cutoff
-	// rateLimited says that the target names a rate limit. utilization is the
-	// fraction of its slots that are in use.
+	// rateLimited says that the target names a rate limit. utilization is the EWMA
+	// of the fraction of its slots that are in use.
 	rateLimited bool
 	utilization float64
 	// rootFractions holds the root routes that use the target, by the hashes of their names.
@@ -78,9 +81,13 @@
 	}
 	runMillis := float64(max(c.RunMillis, 1))
 	slots := c.UsableSlots(runMillis)
+	utilization := float64(c.Running+c.Waiting) / slots
+	if before, ok := s.gates[c.Peers]; ok {
+		utilization = before.utilization + (utilization-before.utilization)*utilizationSmoothingFactor
+	}
 	s.gates[c.Peers] = gateState{
 		service: c.Service, requestsPerMilli: slots / runMillis, cutoff: c.Threshold(),
-		rateLimited: c.RateLimit > 0, utilization: float64(c.Running+c.Waiting) / slots,
+		rateLimited: c.RateLimit > 0, utilization: utilization,
 		rootFractions: c.RootFractions, lastSeenMillis: s.clock.Now(),
 	}
 }
--- a/screen/screen_test.go
+++ b/screen/screen_test.go
@@ -104,3 +104,21 @@
 	got := s.AdmittedFraction("browse", browseGrade)
 	assert.Assert(t, got > 0.849 && got < 0.851, "%v", got)
 }
+
+// A target whose slots are all in use at one moment, but not on average, has
+// capacity for what others don't admit.
+func TestMomentOfFullUseDoesNotRefuseWhatARateLimitSheds(t *testing.T) {
+	c, _ := clock.NewManual(0)
+	s := screen.New(c, 1)
+	limited := gateCard("a", 2, "browse")
+	limited.RateLimit = 50
+	s.Learn(limited)
+	free := gateCard("b", 9, "browse")
+	for range 10 {
+		free.Running = 30
+		s.Learn(free)
+	}
+	free.Running = 50
+	s.Learn(free)
+	assert.Equal(t, s.AdmittedFraction("browse", browseGrade), 1.0)
+}
