Ports log and count the connections that they accept, refuse and keep waiting

Callers saw a node that said that it was ready and accepted no connections. Cause: not known yet; three hypotheses look the same in the logs: no descriptors left, a port that stopped after an error, a process that doesn't get to it. Nothing else changes.

--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -80,4 +80,21 @@
 	} {
 		metrics.GetOrRegisterGauge(name, n.registry).Update(value)
 	}
+	n.updatePortGauges()
+}
+
+// updatePortGauges updates the gauges of the connections at each port.
+func (n *Sidecar) updatePortGauges() {
+	for port, a := range n.ports {
+		open, accepted, failed := a.Counts()
+		for name, value := range map[string]int64{
+			"open":           int64(open),
+			"accepted":       accepted,
+			"errors":         failed,
+			"waiting":        int64(a.Waiting()),
+			"failing.millis": a.FailingMillis(),
+		} {
+			metrics.GetOrRegisterGauge("port."+port+"."+name, n.registry).Update(value)
+		}
+	}
 }
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -8,12 +8,15 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/accept"
 	"bergamotloom.example/hops"
 	"bergamotloom.example/output"
 	"bergamotloom.example/socket"
 )
 
 const (
+	// callersPort names the port for callers in logs and metrics.
+	callersPort = "callers"
 	// headerTimeout is how long a caller may take to send a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the idle timeout of all ports but the callers'. It exceeds
@@ -52,35 +55,45 @@
 		{"hops", n.params.Hops, n.trackRequests(hops.Handler(n.gate))},
 		{"peers", n.params.Peers, n.peers()},
 		{"metrics", n.params.Metrics, n.metrics()},
-		{"callers", n.params.Callers, n.trackRequests(n.entry)},
+		{callersPort, n.params.Callers, n.trackRequests(n.entry)},
 		{"ready", n.params.Ready, ready},
 	}
-	var servers []*http.Server
 	for _, p := range ports {
 		var lc net.ListenConfig
 		l, err := lc.Listen(context.Background(), "tcp", p.address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "node: listening on the port for %s", p.name)
 		}
-		s := &http.Server{
-			Handler:           p.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       socket.Context,
-			BaseContext:       func(net.Listener) context.Context { return n.requests },
-		}
-		servers = append(servers, s)
-		go func() {
-			if p.name == "callers" {
-				s.IdleTimeout = n.callerIdleTimeout()
-			}
-			n.logServeError(p.name, s.Serve(l))
-		}()
+		n.ports[p.name] = accept.New(l, p.name, n.clock, n.log)
+	}
+	var servers []*http.Server
+	for _, p := range ports {
+		servers = append(servers, n.serve(p.name, p.handler))
 	}
 	return servers, nil
 }
 
+// serve serves an open port in the background.
+func (n *Sidecar) serve(port string, h http.Handler) *http.Server {
+	a := n.ports[port]
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         a.ConnState,
+		ConnContext:       socket.Context,
+		BaseContext:       func(net.Listener) context.Context { return n.requests },
+	}
+	go func() {
+		if port == callersPort {
+			s.IdleTimeout = n.callerIdleTimeout()
+		}
+		n.logServeError(port, s.Serve(a))
+	}()
+	return s
+}
+
 // callerIdleTimeout returns the idle timeout of callers' connections. It waits
 // up to configTimeout for the configuration; as the port is already open, this
 // only delays the first responses.
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"bergamotloom.example/accept"
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
@@ -69,6 +70,9 @@
 	// facts distributes the crash suspects to all nodes.
 	facts *facts.Facts
 	pool  *conns.Conns
+	// ports holds the listeners of all ports by name. It isn't changed any more once
+	// they are served.
+	ports map[string]*accept.Accept
 	// registry holds the metrics that the metrics port serves.
 	registry metrics.Registry
 
@@ -92,7 +96,7 @@
 func New(p params.Params, dialect dialct.Dialect, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
 	requests, endRequests := context.WithCancelCause(context.Background())
-	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), requests: requests, endRequests: endRequests}
+	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), requests: requests, endRequests: endRequests}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.isWatcher)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
