Nodes log and list which requests are refused as crash suspects, since when and from whom

Callers' requests that had crashed three servers were sent to more. Cause: not known yet. The logs named the eight suspects of a crash at one node only, and nothing told which node knows of it, for how long, or when a report was taken back. Change: package crash logs each report, the begin of a refusal and its end with the crashes, their ages and reporters; the same is in the detail of a refusal and on the metrics port (/refused, requests.refused, requests.suspect). Nothing else changes.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -14,6 +14,10 @@
 package crash
 
 import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +50,7 @@
 type Suspects struct {
 	clock   clock.Clock
 	self    string
+	log     *slog.Logger
 	publish func(key string, version int64, value []byte, ttlMillis int64)
 
 	// hasSuspects is read without the lock.
@@ -57,9 +62,15 @@
 	lost       map[string]*lostRequests
 }
 
-// crashTimes holds when this node learned of each crash of one fingerprint, by
-// the ID of the crash.
-type crashTimes map[string]int64
+// crashTimes holds when and from whom this node learned of each crash of one
+// fingerprint, by the ID of the crash.
+type crashTimes map[string]learned
+
+// learned is when a node learned something, and from which node.
+type learned struct {
+	at   int64
+	from string
+}
 
 // lostRequests are the requests that were lost at one peer, which may be dead.
 type lostRequests struct {
@@ -77,10 +88,11 @@
 // New returns an empty set of suspects. Self identifies the node by its address
 // and incarnation, separated by a slash. Publish sends a fact to all nodes for
 // ttlMillis milliseconds.
-func New(c clock.Clock, self string, publish func(key string, version int64, value []byte, ttlMillis int64)) *Suspects {
+func New(c clock.Clock, self string, log *slog.Logger, publish func(key string, version int64, value []byte, ttlMillis int64)) *Suspects {
 	return &Suspects{
 		clock:   c,
 		self:    self,
+		log:     log,
 		publish: publish,
 		crashes: make(map[string]crashTimes),
 		lost:    make(map[string]*lostRequests),
@@ -145,7 +157,7 @@
 	if err != nil {
 		panic("crash: encoding a report: " + err.Error())
 	}
-	s.record(r)
+	s.record(r, s.self)
 	s.publish(crashKeyPrefix+s.self+"/"+id, s.clock.Now(), value, BlockMillis)
 }
 
@@ -158,45 +170,55 @@
 		if cbor.Unmarshal(value, &r) != nil || len(r.Fingerprints) > maxFingerprints {
 			return
 		}
-		s.record(r)
+		s.record(r, strings.TrimSuffix(strings.TrimPrefix(key, crashKeyPrefix), "/"+r.Crash))
 	case strings.HasPrefix(key, harmlessKeyPrefix):
-		s.removeCrashes(strings.TrimPrefix(key, harmlessKeyPrefix))
+		s.removeCrashes(strings.TrimPrefix(key, harmlessKeyPrefix), "a peer")
 	}
 }
 
-func (s *Suspects) record(r report) {
+// record takes in the report of a crash from a node.
+func (s *Suspects) record(r report, from string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
 	s.removeExpired(now)
+	s.log.Info("crash: a target died", "Crash", r.Crash, "Suspects", len(r.Fingerprints), "From", from)
 	for _, f := range r.Fingerprints {
 		times, ok := s.crashes[f]
 		if !ok {
 			times = make(crashTimes)
 			s.crashes[f] = times
 		}
-		if _, recorded := times[r.Crash]; !recorded {
-			times[r.Crash] = now
+		if _, recorded := times[r.Crash]; recorded {
+			continue
+		}
+		_, wasRefused := times.remaining(now)
+		times[r.Crash] = learned{now, from}
+		if _, refused := times.remaining(now); refused && !wasRefused {
+			s.log.Warn("crash: a request is refused from now on", "Fingerprint", f, "Crashes", times.describe(now))
 		}
 	}
 	s.hasSuspects.Store(true)
 }
 
-// removeCrashes removes the crashes of a request that got a response, and tells
-// whether there were any.
-func (s *Suspects) removeCrashes(fingerprint string) bool {
+// removeCrashes removes the crashes of a request that got a response, as that node
+// tells, and reports whether there were any.
+func (s *Suspects) removeCrashes(fingerprint, from string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_, ok := s.crashes[fingerprint]
+	times, ok := s.crashes[fingerprint]
 	delete(s.crashes, fingerprint)
+	if now := s.clock.Now(); ok && len(times) > 0 {
+		s.log.Info("crash: a request is harmless", "Fingerprint", fingerprint, "Crashes", times.describe(now), "From", from)
+	}
 	return ok
 }
 
 // removeExpired removes crashes that are older than BlockMillis.
 func (s *Suspects) removeExpired(now int64) {
 	for f, times := range s.crashes {
-		for id, at := range times {
-			if now-at >= BlockMillis {
+		for id, l := range times {
+			if now-l.at >= BlockMillis {
 				delete(times, id)
 			}
 		}
@@ -210,7 +232,7 @@
 // ResponseReceived records that a target responded to the request. If the
 // request was suspect, a fact that it's harmless is published to all nodes.
 func (s *Suspects) ResponseReceived(fingerprint string) {
-	if s.hasSuspects.Load() && s.removeCrashes(fingerprint) {
+	if s.hasSuspects.Load() && s.removeCrashes(fingerprint, s.self) {
 		s.publish(harmlessKeyPrefix+fingerprint, s.clock.Now(), nil, BlockMillis)
 	}
 }
@@ -231,10 +253,10 @@
 func (t crashTimes) remaining(now int64) (leftMillis int64, refused bool) {
 	recent := 0
 	oldest := now
-	for _, at := range t {
-		if now-at < BlockMillis {
+	for _, l := range t {
+		if now-l.at < BlockMillis {
 			recent++
-			oldest = min(oldest, at)
+			oldest = min(oldest, l.at)
 		}
 	}
 	if recent < blockingCrashes {
@@ -242,3 +264,36 @@
 	}
 	return oldest + BlockMillis - now, true
 }
+
+// describe returns the crashes for logs, with their ages and with the nodes that
+// reported them.
+func (t crashTimes) describe(now int64) []string {
+	var texts []string
+	for _, id := range slices.Sorted(maps.Keys(t)) {
+		texts = append(texts, fmt.Sprintf("%s, %d ms ago, from %s", id, now-t[id].at, t[id].from))
+	}
+	return texts
+}
+
+// Describe returns the crashes of a request for logs, with their ages and with the
+// nodes that reported them.
+func (s *Suspects) Describe(fingerprint string) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.crashes[fingerprint].describe(s.clock.Now())
+}
+
+// Refused returns the fingerprints of the requests that are refused at present, and
+// how many others are suspect.
+func (s *Suspects) Refused() (refused []string, suspects int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	s.removeExpired(now)
+	for _, f := range slices.Sorted(maps.Keys(s.crashes)) {
+		if _, ok := s.crashes[f].remaining(now); ok {
+			refused = append(refused, f)
+		}
+	}
+	return refused, len(s.crashes) - len(refused)
+}
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash_test
 
 import (
+	"log/slog"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,7 +20,7 @@
 	c, advance := clock.NewManual(1000)
 	f := &fleet{advance: advance}
 	for i := range size {
-		f.nodes = append(f.nodes, crash.New(c, string(rune('a'+i)), func(key string, _ int64, value []byte, _ int64) {
+		f.nodes = append(f.nodes, crash.New(c, string(rune('a'+i)), slog.New(slog.DiscardHandler), func(key string, _ int64, value []byte, _ int64) {
 			for j, n := range f.nodes {
 				if j != i {
 					n.OnFact(key, value)
@@ -64,7 +65,7 @@
 	c, _ := clock.NewManual(1000)
 	var key string
 	var value []byte
-	a := crash.New(c, "a", func(k string, _ int64, v []byte, _ int64) { key, value = k, v })
+	a := crash.New(c, "a", slog.New(slog.DiscardHandler), func(k string, _ int64, v []byte, _ int64) { key, value = k, v })
 	a.ReportCrash([]string{"bad", ""})
 	a.OnFact(key, value)
 	a.OnFact(key, []byte("not CBOR"))
--- a/outbnd/suspect.go
+++ b/outbnd/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,11 +19,16 @@
 	}
 	q.trip.Fingerprint = fingerprint(q)
 	if remaining, refused := e.suspects.Refuses(q.trip.Fingerprint); refused {
-		return output.Refused(reason.CrashSuspect, "its like crashed targets").WithRetryAfter(remaining), false
+		return output.Refused(reason.CrashSuspect, e.suspectDetail(q.trip.Fingerprint)).WithRetryAfter(remaining), false
 	}
 	return output.Output{}, true
 }
 
+// suspectDetail describes for logs why requests with this fingerprint are refused.
+func (e *Entry) suspectDetail(fingerprint string) string {
+	return "fingerprint " + fingerprint + ": " + strings.Join(e.suspects.Describe(fingerprint), "; ")
+}
+
 // fingerprint returns the same value for requests with the same method, host,
 // request URI, Authorization header and body. Only the buffered start of a long
 // body is included.
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime"
 	"sort"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -12,6 +13,10 @@
 // MetricsPath is the path of the metrics on the metrics port.
 const MetricsPath = "/metrics"
 
+// refusedPath is the path of the list of requests that are refused because they
+// crashed targets.
+const refusedPath = "/refused"
+
 // milli is how many thousandths make a whole: gauges hold whole numbers.
 const milli = 1000
 
@@ -32,6 +37,12 @@
 			fmt.Fprintln(w, l)
 		}
 	})
+	mux.HandleFunc("GET "+refusedPath, func(w http.ResponseWriter, _ *http.Request) {
+		refused, _ := n.suspects.Refused()
+		for _, f := range refused {
+			fmt.Fprintln(w, f, strings.Join(n.suspects.Describe(f), "; "))
+		}
+	})
 	return mux
 }
 
@@ -58,6 +69,7 @@
 	peers, live := n.mesh.PeerCounts()
 	rateLimit, _, rateLimitAgeMillis := n.gate.RateLimit()
 	refusedForRate, delayedForRate := n.gate.RateCosts()
+	refusedRequests, suspectRequests := n.suspects.Refused()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	for name, value := range map[string]int64{
@@ -75,6 +87,8 @@
 		"peers.known":           int64(peers),
 		"peers.heard":           int64(live),
 		"requests.active":       n.active.Load(),
+		"requests.refused":      int64(len(refusedRequests)),
+		"requests.suspect":      int64(suspectRequests),
 		"process.heap.bytes":    int64(memory.HeapAlloc),
 		"process.goroutines":    int64(runtime.NumGoroutine()),
 	} {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -68,8 +68,9 @@
 	picker *picker.Picker
 	screen *screen.Screen
 	// facts distributes the crash suspects to all nodes.
-	facts *facts.Facts
-	pool  *conns.Conns
+	facts    *facts.Facts
+	suspects *crash.Suspects
+	pool     *conns.Conns
 	// ports holds the listeners of all ports by name. It isn't changed any more once
 	// they are served.
 	ports map[string]*accept.Accept
@@ -101,15 +102,14 @@
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
 	self := card.Card{Peers: p.Peers, Incarnation: time.Now().UnixMilli(), Centre: p.Centre, Hops: p.Hops}
-	var suspects *crash.Suspects
-	n.facts = facts.New(c, func(key string, value []byte) { suspects.OnFact(key, value) })
-	suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), n.facts.Publish)
-	n.gate = inbnd.New(c, dialect, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, suspects, n.onLeavingResponse, log, n.registry)
+	n.facts = facts.New(c, func(key string, value []byte) { n.suspects.OnFact(key, value) })
+	n.suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), log, n.facts.Publish)
+	n.gate = inbnd.New(c, dialect, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, n.suspects, n.onLeavingResponse, log, n.registry)
 	n.ration = ration.New(c, p.FirstStart, seed)
 	n.picker = picker.New(c, p.Centre, seed)
 	n.screen = screen.New(c, seed)
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
-		n.gate, hops.New(c, n.picker.UpdateLoad), n.picker, n.screen, n.ration, parents, suspects, seed, log, n.registry)
+		n.gate, hops.New(c, n.picker.UpdateLoad), n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
 	return n, err
