An error of accept no longer ends a port

Callers saw a node that said that it was ready and accepted no connections, until its restart. Cause: net/http stops serving a port after an error of accept that it doesn't know as temporary; the node logged one line and went on saying that it was ready. Change: the listener goes on after any error, but for the port's own end, with a delay of 2 to 100 ms. Result: TestPortIsDeadAfterAnErrorOfAccept failed with ENOBUFS, ENOMEM, EPROTO, EPERM and an unknown error before, and passes.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -16,8 +17,14 @@
 	"bergamotloom.example/clock"
 )
 
-// errorLogMillis is the min time between two log lines about errors.
-const errorLogMillis = 1000
+const (
+	// errorLogMillis is the min time between two log lines about errors.
+	errorLogMillis = 1000
+	// minErrorDelay and maxErrorDelay bound the delay after an error, which doubles
+	// with each further one.
+	minErrorDelay = 2 * time.Millisecond
+	maxErrorDelay = 100 * time.Millisecond
+)
 
 // Accept is the listener of one port. It's safe for concurrent use.
 type Accept struct {
@@ -42,17 +49,22 @@
 	return &Accept{Listener: l, port: port, clock: c, log: log, open: make(map[net.Conn]struct{})}
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. It fails only if the listener is closed.
 func (a *Accept) Accept() (net.Conn, error) {
-	c, err := a.Listener.Accept()
-	if err != nil {
-		if !errors.Is(err, net.ErrClosed) {
-			a.recordError(err)
+	delay := minErrorDelay
+	for {
+		c, err := a.Listener.Accept()
+		switch {
+		case err == nil:
+			a.recordAccepted(c)
+			return c, nil
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
 		}
-		return nil, err
+		a.recordError(err)
+		time.Sleep(delay)
+		delay = min(2*delay, maxErrorDelay)
 	}
-	a.recordAccepted(c)
-	return c, nil
 }
 
 func (a *Accept) recordAccepted(c net.Conn) {
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -77,11 +77,42 @@
 	t.Cleanup(func() { _, _ = server.Close(), client.Close() })
 	results := []any{syscall.EMFILE, syscall.EMFILE, server}
 	a := accept.New(&fakeListener{results: results}, "callers", c, slog.New(slog.NewJSONHandler(log, nil)))
-	for range results {
-		_, _ = a.Accept()
-		advance(10)
-	}
+	advance(10)
+	got, err := a.Accept()
+	assert.NilError(t, err)
+	assert.Equal(t, got, server)
 	assert.Equal(t, strings.Count(log.String(), "accepting a connection failed"), 1, log.String())
 	assert.Equal(t, strings.Count(log.String(), "accepted again"), 1, log.String())
 	assert.Equal(t, a.FailingMillis(), int64(0))
 }
+
+// net/http stops serving a port after an error that it doesn't know as temporary.
+func TestPortIsDeadAfterAnErrorOfAccept(t *testing.T) {
+	for _, failure := range []error{syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.EMFILE, errors.New("unknown")} {
+		a := accept.New(&failingListener{Listener: listen(t), failure: failure}, "callers", clock.New(), slog.New(slog.DiscardHandler))
+		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		go func() { _ = s.Serve(a) }()
+		t.Cleanup(func() { _ = s.Close() })
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+a.Addr().String(), http.NoBody)
+		assert.NilError(t, err)
+		resp, err := (&http.Client{Timeout: time.Second}).Do(r)
+		assert.Check(t, err == nil, "after %v: %v", failure, err)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+}
+
+// failingListener fails the first time.
+type failingListener struct {
+	net.Listener
+	failure error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if err := l.failure; err != nil {
+		l.failure = nil
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
