Ports bound their open connections; a node that accepts none isn't ready

Callers saw a node that said that it was ready and took none of their connections for seconds. Connections of callers and of other nodes stayed open until their idle timeout, without a bound on their number; callers that repeat at once leave one behind with each attempt. Once the descriptors of the process were used up, accept failed at all ports, for as long as callers went on. Readiness asked for a configuration and a live peer, and its own connection was already open. Class of fault: a resource shared by all duties without a bound for each, and a health check that doesn't take the way of what it vouches for. Change: each port may have a part of the sockets (platform's limit and that of the process); at the bound, the connection that has been idle for longest makes room. If none is idle, the requests of some more connections are refused with 503, and beyond that the connection is reset unread. Idle connections to other nodes have a common bound and are closed also if no request comes any more. TestOldestIdleConnectionsMakeRoomForNewOnes and TestRequestsAreRefusedWhileAllConnectionsAreInUse are new.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -1,9 +1,12 @@
-// Package accept wraps the listener of a port and records whether connections are
-// accepted there: how many were, how many are open, how many wait, and which
-// errors came instead.
+// Package accept wraps the listener of a port so that it goes on accepting
+// connections: it bounds how many are open, and an error never ends it. It also
+// records how many connections were accepted, are open and wait, and which errors
+// came instead.
 package accept
 
 import (
+	"container/list"
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,29 +27,56 @@
 	// with each further one.
 	minErrorDelay = 2 * time.Millisecond
 	maxErrorDelay = 100 * time.Millisecond
+	// excessDivisor is the divisor of the max number of open connections that gives
+	// how many more are accepted to refuse their requests.
+	excessDivisor = 8
+	// closedPerError is how many idle connections are closed after an error, which
+	// in most cases says that no descriptor is left.
+	closedPerError = 8
 )
 
 // Accept is the listener of one port. It's safe for concurrent use.
 type Accept struct {
 	net.Listener
-	port  string
-	clock clock.Clock
-	log   *slog.Logger
+	port    string
+	maxOpen int
+	clock   clock.Clock
+	log     *slog.Logger
 
-	mutex    sync.Mutex
-	open     map[net.Conn]struct{}
+	mutex sync.Mutex
+	open  map[net.Conn]*openConn
+	// idle has the open connections without a request, those that became idle first
+	// at the front.
+	idle *list.List
+	// excess is how many open connections are beyond maxOpen.
+	excess   int
 	accepted int64
 	failed   int64
+	// closedIdle and closedNew count the idle and the new connections that were
+	// closed to stay below the limit.
+	closedIdle int64
+	closedNew  int64
 	// failingSince is when the first of the errors since the last accepted
 	// connection came, 0 if there was none; errorLoggedAt is when one was logged.
 	failingSince  int64
 	errorLoggedAt int64
 }
 
-// New returns a wrapper of the listener. Its methods Accept and ConnState must be
-// given to the server of the port, whose name is used in logs.
-func New(l net.Listener, port string, c clock.Clock, log *slog.Logger) *Accept {
-	return &Accept{Listener: l, port: port, clock: c, log: log, open: make(map[net.Conn]struct{})}
+// openConn is the state of an open connection.
+type openConn struct {
+	// idleElement is its place among the idle connections, nil while it has a
+	// request.
+	idleElement *list.Element
+	isExcess    bool
+}
+
+type excessKey struct{}
+
+// New returns a wrapper of the listener that keeps up to maxOpen connections open.
+// Its methods Accept, ConnState and ConnContext must be given to the server of the
+// port, whose name is used in logs.
+func New(l net.Listener, port string, maxOpen int, c clock.Clock, log *slog.Logger) *Accept {
+	return &Accept{Listener: l, port: port, maxOpen: maxOpen, clock: c, log: log, open: make(map[net.Conn]*openConn), idle: list.New()}
 }
 
 // Accept waits for the next connection. It fails only if the listener is closed.
@@ -56,26 +86,110 @@
 		c, err := a.Listener.Accept()
 		switch {
 		case err == nil:
-			a.recordAccepted(c)
-			return c, nil
+			if a.admit(c) {
+				return c, nil
+			}
+			// Resets the connection, so that the caller learns at once.
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		default:
+			a.recordError(err)
+			a.closeIdle(closedPerError)
+			time.Sleep(delay)
+			delay = min(2*delay, maxErrorDelay)
 		}
-		a.recordError(err)
-		time.Sleep(delay)
-		delay = min(2*delay, maxErrorDelay)
 	}
 }
 
-func (a *Accept) recordAccepted(c net.Conn) {
+// admit records a new connection, and reports whether it may stay open. If there
+// are too many, the one that has been idle for longest is closed. If none is idle,
+// the new one becomes an excess connection, whose request is to be refused, and if
+// there are too many of these as well, it can't stay open.
+func (a *Accept) admit(c net.Conn) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.accepted++
-	a.open[c] = struct{}{}
 	if a.failingSince != 0 {
 		a.log.Info("node: connections are accepted again", "Port", a.port, "SinceMillis", a.clock.Since(a.failingSince), "Open", len(a.open))
 		a.failingSince, a.errorLoggedAt = 0, 0
 	}
+	if len(a.open)-a.excess >= a.maxOpen {
+		a.closeOldestIdle()
+	}
+	state := &openConn{isExcess: len(a.open)-a.excess >= a.maxOpen}
+	if state.isExcess {
+		if a.excess >= max(a.maxOpen/excessDivisor, 1) {
+			a.closedNew++
+			return false
+		}
+		a.excess++
+	} else {
+		state.idleElement = a.idle.PushBack(c)
+	}
+	a.open[c] = state
+	return true
+}
+
+// closeIdle closes up to count connections, those first that have been idle for
+// longest.
+func (a *Accept) closeIdle(count int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for range count {
+		a.closeOldestIdle()
+	}
+}
+
+// closeOldestIdle closes the connection that has been idle for longest, if there is
+// one. The mutex must be held.
+func (a *Accept) closeOldestIdle() {
+	first := a.idle.Front()
+	if first == nil {
+		return
+	}
+	c, ok := first.Value.(net.Conn)
+	if !ok {
+		panic("accept: the list of idle connections holds something else")
+	}
+	a.forget(c)
+	a.closedIdle++
+	_ = c.Close()
+}
+
+// forget removes a connection that was closed. The mutex must be held.
+func (a *Accept) forget(c net.Conn) {
+	state, ok := a.open[c]
+	if !ok {
+		return
+	}
+	delete(a.open, c)
+	if state.isExcess {
+		a.excess--
+	}
+	if state.idleElement != nil {
+		a.idle.Remove(state.idleElement)
+	}
+}
+
+// ConnContext marks the contexts of requests on excess connections. It's the
+// callback of the same name of the port's server.
+func (a *Accept) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if state, ok := a.open[c]; ok && state.isExcess {
+		return context.WithValue(ctx, excessKey{}, true)
+	}
+	return ctx
+}
+
+// IsExcess reports whether the context is that of a request on an excess
+// connection. The request should be refused and the connection closed.
+func IsExcess(ctx context.Context) bool {
+	return ctx.Value(excessKey{}) != nil
 }
 
 func (a *Accept) recordError(err error) {
@@ -97,12 +211,19 @@
 // ConnState takes in the state of a connection. It's the callback of the same name
 // of the port's server.
 func (a *Accept) ConnState(c net.Conn, s http.ConnState) {
-	if s != http.StateClosed && s != http.StateHijacked {
-		return
-	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	delete(a.open, c)
+	state, ok := a.open[c]
+	switch {
+	case !ok:
+	case s == http.StateClosed || s == http.StateHijacked:
+		a.forget(c)
+	case s == http.StateActive && state.idleElement != nil:
+		a.idle.Remove(state.idleElement)
+		state.idleElement = nil
+	case s == http.StateIdle && state.idleElement == nil && !state.isExcess:
+		state.idleElement = a.idle.PushBack(c)
+	}
 }
 
 // Counts returns how many connections are open, how many were accepted since the
@@ -113,6 +234,14 @@
 	return len(a.open), a.accepted, a.failed
 }
 
+// Closed returns how many idle and how many new connections were closed since the
+// start because too many were open.
+func (a *Accept) Closed() (idle, fresh int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.closedIdle, a.closedNew
+}
+
 // FailingMillis returns for how long accepting has failed, 0 if it doesn't.
 func (a *Accept) FailingMillis() int64 {
 	a.mutex.Lock()
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -1,7 +1,9 @@
 package accept_test
 
 import (
+	"bufio"
 	"bytes"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -55,7 +57,7 @@
 }
 
 func TestWaitingConnectionsAreCounted(t *testing.T) {
-	a := accept.New(listen(t), "callers", clock.New(), slog.New(slog.DiscardHandler))
+	a := accept.New(listen(t), "callers", 10, clock.New(), slog.New(slog.DiscardHandler))
 	for range 3 {
 		dial(t, a)
 	}
@@ -76,7 +78,7 @@
 	server, client := net.Pipe()
 	t.Cleanup(func() { _, _ = server.Close(), client.Close() })
 	results := []any{syscall.EMFILE, syscall.EMFILE, server}
-	a := accept.New(&fakeListener{results: results}, "callers", c, slog.New(slog.NewJSONHandler(log, nil)))
+	a := accept.New(&fakeListener{results: results}, "callers", 10, c, slog.New(slog.NewJSONHandler(log, nil)))
 	advance(10)
 	got, err := a.Accept()
 	assert.NilError(t, err)
@@ -89,7 +91,7 @@
 // net/http stops serving a port after an error that it doesn't know as temporary.
 func TestPortIsDeadAfterAnErrorOfAccept(t *testing.T) {
 	for _, failure := range []error{syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.EMFILE, errors.New("unknown")} {
-		a := accept.New(&failingListener{Listener: listen(t), failure: failure}, "callers", clock.New(), slog.New(slog.DiscardHandler))
+		a := accept.New(&failingListener{Listener: listen(t), failure: failure}, "callers", 10, clock.New(), slog.New(slog.DiscardHandler))
 		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 		go func() { _ = s.Serve(a) }()
 		t.Cleanup(func() { _ = s.Close() })
@@ -116,3 +118,83 @@
 	}
 	return l.Listener.Accept()
 }
+
+// serve serves a port with at most maxOpen connections, whose requests wait for
+// release, and returns the wrapped listener.
+func serve(t *testing.T, maxOpen int, release chan struct{}) *accept.Accept {
+	t.Helper()
+	a := accept.New(listen(t), "callers", maxOpen, clock.New(), slog.New(slog.DiscardHandler))
+	s := &http.Server{
+		ReadHeaderTimeout: time.Second, ConnState: a.ConnState, ConnContext: a.ConnContext,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if accept.IsExcess(r.Context()) {
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			<-release
+		}),
+	}
+	go func() { _ = s.Serve(a) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return a
+}
+
+// get sends a request on the connection and returns the status of the response, 0
+// without one.
+func get(c net.Conn, timeout time.Duration) int {
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	if _, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+		return 0
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+func TestOldestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
+	release := make(chan struct{})
+	close(release)
+	a := serve(t, 4, release)
+	var opened []net.Conn
+	for range 10 {
+		c := dial(t, a)
+		assert.Equal(t, get(c, time.Second), http.StatusOK)
+		opened = append(opened, c)
+	}
+	open, _, _ := a.Counts()
+	assert.Assert(t, open <= 4, "%d open", open)
+	assert.Equal(t, get(opened[9], time.Second), http.StatusOK)
+	assert.Equal(t, get(opened[0], time.Second), 0)
+}
+
+func TestRequestsAreRefusedWhileAllConnectionsAreInUse(t *testing.T) {
+	release := make(chan struct{})
+	const maxOpen = 64
+	a := serve(t, maxOpen, release)
+	served := make(chan int, maxOpen)
+	for range maxOpen {
+		c := dial(t, a)
+		go func() { served <- get(c, 5*time.Second) }()
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if open, _, _ := a.Counts(); open == maxOpen {
+			break
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	for range 20 {
+		c := dial(t, a)
+		assert.Equal(t, get(c, time.Second), http.StatusServiceUnavailable)
+		// The node closes it, which makes room for the next one.
+		_, _ = io.Copy(io.Discard, c)
+	}
+	close(release)
+	for range maxOpen {
+		assert.Equal(t, <-served, http.StatusOK)
+	}
+	assert.Equal(t, get(dial(t, a), time.Second), http.StatusOK)
+}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -44,8 +44,9 @@
 	maxSkippedBytes = 256 << 10
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	// maxIdle is the max number of idle connections in the pool.
-	maxIdle = 128
+	// defaultMaxIdle is the max number of idle connections in the pool, unless
+	// SetMaxIdle sets another one.
+	defaultMaxIdle = 128
 )
 
 // Conns is a pool of connections to one address. It's safe for many goroutines.
@@ -55,6 +56,7 @@
 	idleMillis int64
 	mutex      sync.Mutex
 	idle       []*conn
+	maxIdle    int
 	opened     atomic.Int64
 }
 
@@ -74,7 +76,22 @@
 // New returns a pool for the address. Connections that were idle for longer
 // than idleMillis aren't reused.
 func New(address string, c clock.Clock, idleMillis int64) *Conns {
-	return &Conns{address: address, clock: c, idleMillis: idleMillis}
+	return &Conns{address: address, clock: c, idleMillis: idleMillis, maxIdle: defaultMaxIdle}
+}
+
+// SetMaxIdle sets the max number of idle connections. It closes none: those beyond
+// it are closed after their next use or when they have been idle for too long.
+func (p *Conns) SetMaxIdle(count int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.maxIdle = count
+}
+
+// Idle returns the number of idle connections.
+func (p *Conns) Idle() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle)
 }
 
 // Opened returns the number of connections opened since the start.
@@ -265,7 +282,7 @@
 	c.idleMillis = min(p.idleMillis, keepAliveMillis(response.Header))
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle) >= maxIdle || c.idleMillis <= 0 {
+	if len(p.idle) >= p.maxIdle || c.idleMillis <= 0 {
 		return false
 	}
 	p.idle = append(p.idle, c)
--- a/hops/handle.go
+++ b/hops/handle.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"bergamotloom.example/accept"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/output"
 	"bergamotloom.example/reason"
@@ -43,6 +44,9 @@
 }
 
 func serve(g gate, r *http.Request) output.Output {
+	if accept.IsExcess(r.Context()) {
+		return output.Refused(reason.Overloaded, "too many connections are open at the gate")
+	}
 	t, err := trip.Decode(r.Header.Get(trip.Header))
 	if err != nil {
 		return output.Refused(reason.BadRequest, err.Error())
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -27,6 +27,9 @@
 	// maxIdleMillis is for how long an idle connection may be reused. Gates keep
 	// theirs open for much longer.
 	maxIdleMillis = 5_000
+	// minIdlePerPeer is the least number of idle connections to a peer that are
+	// kept, however many peers there are.
+	minIdlePerPeer = 4
 	// responseGraceMillis is how long after the deadline to wait for the gate's
 	// response. The gate responds at the deadline at the latest, and its
 	// response, which needs some time to arrive, reports whether the request ran.
@@ -39,14 +42,18 @@
 type Hops struct {
 	clock  clock.Clock
 	onLoad func(peer string, running, waiting int)
-	mutex  sync.Mutex
-	pools  map[string]*conns.Conns
+	// maxIdle is the max number of idle connections to all peers together, which
+	// is divided among those with a pool.
+	maxIdle int
+	mutex   sync.Mutex
+	pools   map[string]*conns.Conns
 }
 
-// New returns a Hops without connections. OnLoad is called with the numbers of
-// running and waiting requests that the gate of a peer reports in a response.
-func New(c clock.Clock, onLoad func(peer string, running, waiting int)) *Hops {
-	return &Hops{clock: c, onLoad: onLoad, pools: make(map[string]*conns.Conns)}
+// New returns a Hops without connections, which keeps about maxIdle idle ones in
+// total. OnLoad is called with the numbers of running and waiting requests that the
+// gate of a peer reports in a response.
+func New(c clock.Clock, maxIdle int, onLoad func(peer string, running, waiting int)) *Hops {
+	return &Hops{clock: c, maxIdle: maxIdle, onLoad: onLoad, pools: make(map[string]*conns.Conns)}
 }
 
 // pool returns the connections to an address.
@@ -56,11 +63,49 @@
 	pool, ok := p.pools[address]
 	if !ok {
 		pool = conns.New(address, p.clock, maxIdleMillis)
+		pool.SetMaxIdle(minIdlePerPeer)
 		p.pools[address] = pool
 	}
 	return pool
 }
 
+// divideIdle divides maxIdle among the pools that have idle connections. The mutex
+// must be held.
+func (p *Hops) divideIdle() {
+	used := 0
+	for _, pool := range p.pools {
+		if pool.Idle() > 0 {
+			used++
+		}
+	}
+	each := max(p.maxIdle/max(used, 1), minIdlePerPeer)
+	for _, pool := range p.pools {
+		pool.SetMaxIdle(each)
+	}
+}
+
+// CloseUnusable closes the idle connections that can't be used again. It's to be
+// called about once a second.
+func (p *Hops) CloseUnusable() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, pool := range p.pools {
+		pool.CloseUnusable()
+	}
+	p.divideIdle()
+}
+
+// Idle returns the number of idle connections to all peers.
+func (p *Hops) Idle() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := 0
+	for _, pool := range p.pools {
+		idle += pool.Idle()
+	}
+	return idle
+}
+
 // Do sends a request to the gate at the address of the peer, and returns its
 // outcome. Reached is false if the request couldn't be sent or the connection
 // ended early, before the deadline. It's true if a response came, or if the
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -17,6 +17,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"bergamotloom.example/accept"
 	"bergamotloom.example/advice"
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
@@ -174,6 +175,9 @@
 
 // handle admits or refuses the request, and sends an admitted one to an instance.
 func (e *Entry) handle(q *request) output.Output {
+	if accept.IsExcess(q.Context()) {
+		return output.Refused(reason.Overloaded, "too many connections are open at the entry")
+	}
 	conf := e.config()
 	if conf == nil {
 		return output.Refused(reason.NotInForce, "no configuration is known yet")
--- a/params/params.go
+++ b/params/params.go
@@ -39,6 +39,9 @@
 	Cores int
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// MaxSockets is how many sockets the process may have open, 0 if that isn't
+	// known.
+	MaxSockets int
 	// HeartbeatMillis is the time between two heartbeats of a target.
 	HeartbeatMillis int64
 	// GraceMillis is the time from the stop signal to the kill.
@@ -73,6 +76,8 @@
 		return errors.New("the data centre is empty: it must be named")
 	case p.GraceMillis <= 0:
 		return errors.Errorf("the grace is %d ms: it must be positive", p.GraceMillis)
+	case p.MaxSockets < 0:
+		return errors.Errorf("the max number of sockets is %d: it may not be negative", p.MaxSockets)
 	case p.RetryRatio < 0:
 		return errors.Errorf("the retry ratio is %v: it may not be negative", p.RetryRatio)
 	}
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -84,6 +84,7 @@
 		"gate.limit.delayed":    delayedForRate,
 		"limits.known":          int64(n.picker.RateLimits()),
 		"target.connections":    n.pool.Opened(),
+		"hops.idle":             int64(n.hops.Idle()),
 		"peers.known":           int64(peers),
 		"peers.heard":           int64(live),
 		"requests.active":       n.active.Load(),
@@ -94,6 +95,11 @@
 	} {
 		metrics.GetOrRegisterGauge(name, n.registry).Update(value)
 	}
+	accepting := int64(0)
+	if n.accepting.Load() {
+		accepting = 1
+	}
+	metrics.GetOrRegisterGauge("callers.accepting", n.registry).Update(accepting)
 	n.updatePortGauges()
 }
 
@@ -101,10 +107,13 @@
 func (n *Sidecar) updatePortGauges() {
 	for port, a := range n.ports {
 		open, accepted, failed := a.Counts()
+		closedIdle, closedNew := a.Closed()
 		for name, value := range map[string]int64{
 			"open":           int64(open),
 			"accepted":       accepted,
 			"errors":         failed,
+			"closed.idle":    closedIdle,
+			"closed.new":     closedNew,
 			"waiting":        int64(a.Waiting()),
 			"failing.millis": a.FailingMillis(),
 		} {
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// callersPort names the port for callers in logs and metrics.
+	// callersPort and hopsPort name the ports for callers and for requests of
+	// other nodes in logs and metrics.
 	callersPort = "callers"
+	hopsPort    = "hops"
 	// headerTimeout is how long a caller may take to send a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the idle timeout of all ports but the callers'. It exceeds
@@ -52,7 +54,7 @@
 		handler       http.Handler
 	}{
 		{"control", n.params.Control, control},
-		{"hops", n.params.Hops, n.trackRequests(hops.Handler(n.gate))},
+		{hopsPort, n.params.Hops, n.trackRequests(hops.Handler(n.gate))},
 		{"peers", n.params.Peers, n.peers()},
 		{"metrics", n.params.Metrics, n.metrics()},
 		{callersPort, n.params.Callers, n.trackRequests(n.entry)},
@@ -64,7 +66,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "node: listening on the port for %s", p.name)
 		}
-		n.ports[p.name] = accept.New(l, p.name, n.clock, n.log)
+		n.ports[p.name] = accept.New(l, p.name, n.maxOpen(p.name), n.clock, n.log)
 	}
 	var servers []*http.Server
 	for _, p := range ports {
@@ -82,8 +84,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         a.ConnState,
-		ConnContext:       socket.Context,
-		BaseContext:       func(net.Listener) context.Context { return n.requests },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return a.ConnContext(socket.Context(ctx, c), c)
+		},
+		BaseContext: func(net.Listener) context.Context { return n.requests },
 	}
 	go func() {
 		if port == callersPort {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -42,6 +42,9 @@
 	// tickMillis is the time between two updates of the gate and the rate
 	// limits.
 	tickMillis = 100
+	// closeUnusableMillis is the time between two checks of the idle connections to
+	// other nodes.
+	closeUnusableMillis = 1000
 	// targetIdleMillis is how long an idle connection to the target may be
 	// reused; many targets close idle connections after a few seconds.
 	targetIdleMillis = 4000
@@ -67,6 +70,7 @@
 	ration *ration.Ration
 	picker *picker.Picker
 	screen *screen.Screen
+	hops   *hops.Hops
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
@@ -74,6 +78,8 @@
 	// ports holds the listeners of all ports by name. It isn't changed any more once
 	// they are served.
 	ports map[string]*accept.Accept
+	// accepting is false while the port for callers accepts no connections.
+	accepting atomic.Bool
 	// registry holds the metrics that the metrics port serves.
 	registry metrics.Registry
 
@@ -108,8 +114,9 @@
 	n.ration = ration.New(c, p.FirstStart, seed)
 	n.picker = picker.New(c, p.Centre, seed)
 	n.screen = screen.New(c, seed)
+	n.hops = hops.New(c, n.maxSockets()/idleHopsDivisor, n.picker.UpdateLoad)
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
-		n.gate, hops.New(c, n.picker.UpdateLoad), n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
+		n.gate, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
 	return n, err
@@ -179,11 +186,11 @@
 	n.recordLeave(context.Background(), target)
 }
 
-// Ready reports whether callers should send their requests to this node: a
-// configuration is in force, and the node has received a status card or seems
-// to be the only node.
+// Ready reports whether callers should send their requests to this node: it accepts
+// their connections, a configuration is in force, and the node has received a status
+// card or seems to be the only node.
 func (n *Sidecar) Ready() bool {
-	if n.stopping.Load() || n.follow.Current() == nil {
+	if n.stopping.Load() || n.follow.Current() == nil || !n.accepting.Load() {
 		return false
 	}
 	_, live := n.mesh.PeerCounts()
@@ -203,6 +210,7 @@
 	n.runTask(tasks, n.follow.Run)
 	n.runTask(tasks, n.mesh.Run)
 	n.runTask(tasks, n.tick)
+	n.runTask(tasks, n.checkAccepting)
 	n.runTask(tasks, n.runMembership)
 	n.runTask(tasks, n.catchUp)
 	n.log.Info("node: started", "Node", n.params.Name, "Service", n.params.Service, "Centre", n.params.Centre, "Peers", n.params.Peers, "FirstStart", n.params.FirstStart)
@@ -228,6 +236,7 @@
 func (n *Sidecar) tick(ctx context.Context) {
 	t := time.NewTicker(tickMillis * time.Millisecond)
 	defer t.Stop()
+	closedUnusableAt := n.clock.Now()
 	for last := n.clock.Fine(); ; {
 		select {
 		case <-ctx.Done():
@@ -238,17 +247,21 @@
 		n.gate.Tick()
 		n.ration.Tick(max(now-last, 1))
 		last = now
+		if n.clock.Since(closedUnusableAt) >= closeUnusableMillis {
+			closedUnusableAt = n.clock.Now()
+			n.hops.CloseUnusable()
+		}
 	}
 }
 
 // trackRequests counts the requests in flight, and ends connections after their
-// current request while the node stops.
+// current request while the node stops or too many are open.
 func (n *Sidecar) trackRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.active.Add(1)
 		defer n.active.Add(-1)
 		n.lastRequestMillis.Store(n.clock.Now())
-		if n.stopping.Load() {
+		if n.stopping.Load() || accept.IsExcess(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
