The report of a crash names all requests without a response

Callers' requests that crash servers were sent to more after three had ended. The report held the eight requests that started last; under load more start between the one that crashes the server and the loss of its connection. And a request counted only if its connection broke while its caller waited: one whose caller had left, or whose deadline had passed, was in no report, though the server may go on running it. Class of fault: evidence is thrown away before it's known what it is evidence of. Evidence: no line 'gate: the target died' with a caller that leaves; suspects that never held the fingerprint among 60 others. Change: the gate keeps up to 512 requests that ended without a response, also in the middle of one, for 15 s. When the target is confirmed dead, those that were lost are suspects, and those that were given up unless the target responded for a second after that. The crash is named by the node and the start time of the target.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -39,7 +39,7 @@
 	maxFingerprints = 1024
 	// peerConfirmMillis is the maximum time between the first request lost at a
 	// peer and the confirmation that the peer is dead.
-	peerConfirmMillis = 5000
+	peerConfirmMillis = 15_000
 
 	crashKeyPrefix    = "crash/"
 	harmlessKeyPrefix = "harmless/"
@@ -109,6 +109,18 @@
 	s.publishCrash(id, fingerprints)
 }
 
+// TargetID returns the ID of a crash of the target that started at startMillis
+// beside this node. It's the same at all nodes that lost requests in the crash.
+func TargetID(node string, startMillis int64) string {
+	return node + "/" + strconv.FormatInt(startMillis, 10)
+}
+
+// ReportTargetCrash reports a crash with this ID to all nodes, with the fingerprints
+// of requests that were lost in it, those that most likely caused it first.
+func (s *Suspects) ReportTargetCrash(id string, fingerprints []string) {
+	s.publishCrash(id, fingerprints)
+}
+
 // RequestLost records a request that was lost at a peer, an address with its
 // incarnation. The request counts as lost in a crash if the peer is confirmed
 // dead.
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -28,6 +28,7 @@
 	"bergamotloom.example/parent"
 	"bergamotloom.example/queue"
 	"bergamotloom.example/reason"
+	"bergamotloom.example/runst"
 	"bergamotloom.example/sched"
 	"bergamotloom.example/trip"
 )
@@ -54,6 +55,8 @@
 type Gate struct {
 	clock   clock.Clock
 	dialect dialct.Dialect
+	// self is the node's identity among its peers.
+	self    string
 	service string
 	pool    *conns.Conns
 	queue   *queue.Queue
@@ -95,15 +98,16 @@
 }
 
 // New returns the gate of the target at the pool's address, which runs this
-// service. HeartbeatMillis is the interval of the target's heartbeats in
+// service, at the node that peers know as self. HeartbeatMillis is the interval of the target's heartbeats in
 // milliseconds. FirstStart says that no earlier process of the node can have
 // sent requests to the target. The gate admits no request before the first
 // heartbeat. It calls onLeaving when a response of the target says that it leaves.
-func New(c clock.Clock, dialect dialct.Dialect, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, onLeaving func(target string), log *slog.Logger, registry metrics.Registry) *Gate {
+func New(c clock.Clock, dialect dialct.Dialect, self, service string, heartbeatMillis int64, firstStart bool, pool *conns.Conns, runningRequests *parent.Registry, suspects *crash.Suspects, onLeaving func(target string), log *slog.Logger, registry metrics.Registry) *Gate {
 	q := queue.New(c)
 	g := &Gate{
 		clock:           c,
 		dialect:         dialect,
+		self:            self,
 		service:         service,
 		pool:            pool,
 		queue:           q,
@@ -167,14 +171,22 @@
 	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline) //nolint:bodyclose // readResponse closes it.
 	if err != nil {
 		o := g.noResponse(ctx, target.Target, deadline, sent, err)
-		if o.Reason == reason.InstanceLost {
-			g.crashes.requestLost(t.Fingerprint, startedAt)
+		if o.Ran == runst.Maybe {
+			g.crashes.requestEnded(t.Fingerprint, startedAt, o.Reason == reason.InstanceLost)
 		}
 		g.recordRun(t, o, g.clock.Fine()-startedAt)
 		return o
 	}
 	g.followAdvice(response, target, startedAt)
-	o := g.readResponse(response, done)
+	o := g.readResponse(response, func(complete bool) {
+		if !complete {
+			g.crashes.requestEnded(t.Fingerprint, startedAt, ctx.Err() == nil)
+		}
+		done(complete)
+	})
+	if o.Reason != reason.InstanceLost {
+		g.crashes.responded()
+	}
 	if o.HasResponse() {
 		g.suspects.ResponseReceived(t.Fingerprint)
 	}
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -1,6 +1,9 @@
 package inbnd
 
-import "bergamotloom.example/notice"
+import (
+	"bergamotloom.example/crash"
+	"bergamotloom.example/notice"
+)
 
 // HandleHeartbeat updates the state of the target from its heartbeat. A heartbeat
 // that is older than the last one, or that comes from an earlier incarnation,
@@ -20,8 +23,11 @@
 		return
 	}
 	restarted := n.Target != g.target.Target || n.BornMillis != g.target.BornMillis
-	if restarted {
-		g.crashes.targetDied()
+	if restarted && g.target.Target != "" {
+		if g.target.Leaving {
+			g.crashes.targetLeft()
+		}
+		g.crashes.targetDied(g.crashID())
 	}
 	if restarted && g.target.Target != "" {
 		g.changeLimit(g.named.Reset)
@@ -118,7 +124,7 @@
 	}
 	g.reachable = false
 	g.queue.Close()
-	g.crashes.targetDied()
+	g.crashes.targetDied(g.crashID())
 	g.log.Warn("gate: target can't be reached", "Target", target, "Error", err.Error())
 }
 
@@ -145,3 +151,8 @@
 	n, ok := g.current()
 	return n.Target, ok
 }
+
+// crashID returns the ID of a crash of the present target. The mutex must be held.
+func (g *Gate) crashID() string {
+	return crash.TargetID(g.self, g.target.BornMillis)
+}
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -110,7 +110,7 @@
 	self := card.Card{Peers: p.Peers, Incarnation: time.Now().UnixMilli(), Centre: p.Centre, Hops: p.Hops}
 	n.facts = facts.New(c, func(key string, value []byte) { n.suspects.OnFact(key, value) })
 	n.suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), log, n.facts.Publish)
-	n.gate = inbnd.New(c, dialect, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, n.suspects, n.onLeavingResponse, log, n.registry)
+	n.gate = inbnd.New(c, dialect, p.Peers, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, n.suspects, n.onLeavingResponse, log, n.registry)
 	n.ration = ration.New(c, p.FirstStart, seed)
 	n.picker = picker.New(c, p.Centre, seed)
 	n.screen = screen.New(c, seed)
