Nodes report requests that ended together with the node beside their target

Callers' requests that crash servers were sent to more after three had ended. Only the gate beside a server reported its crash; a gate that ends with its server reports nothing, and the nodes that had sent it the requests kept no record. Evidence: with a node that ends 50 ms before its server, no node logged a crash. Change: an entry records the requests whose connection to a gate broke, or that were given up while nothing came from that node, by the start time of the target. When a card shows that another target started there, and the earlier one hadn't announced its end, they're reported under the ID that the gate itself would use, so that the crash counts once.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -78,6 +78,9 @@
 	fingerprints []string
 }
 
+// maxLostPeers bounds for how many peers lost requests are kept.
+const maxLostPeers = 256
+
 // report is the value of a fact about a crash.
 type report struct {
 	// Crash is the ID of the crash, the same in the reports of several nodes.
@@ -122,8 +125,8 @@
 }
 
 // RequestLost records a request that was lost at a peer, an address with its
-// incarnation. The request counts as lost in a crash if the peer is confirmed
-// dead.
+// incarnation, or beside it, as TargetID names it. The request counts as lost in a
+// crash if the peer is confirmed dead.
 func (s *Suspects) RequestLost(peer, fingerprint string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -134,11 +137,16 @@
 		}
 	}
 	l, ok := s.lost[peer]
+	if !ok && len(s.lost) >= maxLostPeers || fingerprint == "" {
+		return
+	}
 	if !ok {
 		l = &lostRequests{firstAt: now}
 		s.lost[peer] = l
 	}
-	l.fingerprints = append(l.fingerprints, fingerprint)
+	if len(l.fingerprints) < maxFingerprints {
+		l.fingerprints = append(l.fingerprints, fingerprint)
+	}
 }
 
 // PeerDead reports the requests that were lost at a peer as lost in one crash, as
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -298,6 +298,7 @@
 		q.offers++
 		tried[c.Peers] = true
 		q.peer, q.target = c.Peers, c.Target
+		sentAt := e.clock.Now()
 		t := q.trip.WithElapsed(e.clock.Fine()-q.startedAt).
 			WithRateLimit(card.Hash(c.Target), float64(c.RateLimit), float64(c.RateLimitAgeMillis))
 		if c.Peers == e.self {
@@ -307,6 +308,7 @@
 			var reached bool
 			last, reached = e.hops.Do(q.Context(), c.Peers, c.Hops, q.Request, q.Header, q.body, q.writeRest, q.length, t)
 			e.picker.Done(c.Peers, reached)
+			e.recordLost(q, c, last, reached, sentAt)
 		}
 		e.learnAdvice(c, last)
 		if !e.allowRetry(q, last) {
--- a/outbnd/suspect.go
+++ b/outbnd/suspect.go
@@ -6,8 +6,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bergamotloom.example/card"
+	"bergamotloom.example/crash"
 	"bergamotloom.example/output"
 	"bergamotloom.example/reason"
+	"bergamotloom.example/runst"
 )
 
 // checkCrashSuspect sets the fingerprint of a caller's request, and refuses a
@@ -24,6 +27,19 @@
 	return output.Output{}, true
 }
 
+// recordLost records a request that may have been running at a target when the node
+// beside it ended: the connection broke, or the request was given up while nothing
+// came from the node since it was sent.
+func (e *Entry) recordLost(q *request, c card.Card, o output.Output, reached bool, sentAt int64) {
+	if o.Ran != runst.Maybe || c.TargetStartMillis == 0 {
+		return
+	}
+	if reached && e.picker.SeenSince(c.Peers, sentAt) {
+		return
+	}
+	e.suspects.RequestLost(crash.TargetID(c.Peers, c.TargetStartMillis), q.trip.Fingerprint)
+}
+
 // suspectDetail describes for logs why requests with this fingerprint are refused.
 func (e *Entry) suspectDetail(fingerprint string) string {
 	return "fingerprint " + fingerprint + ": " + strings.Join(e.suspects.Describe(fingerprint), "; ")
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -179,6 +179,15 @@
 	return best.limit.describe(best.card, now), true
 }
 
+// SeenSince reports whether a status card or a response came from the node at that
+// moment or later, in milliseconds of the node's clock.
+func (p *Picker) SeenSince(peer string, millis int64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	n, ok := p.instances[peer]
+	return ok && n.lastSeenMillis >= millis
+}
+
 // Done counts a request to a node as finished. Reached is false if the request
 // wasn't sent, for whatever reason, or the connection ended early; that ejects the
 // instance for ejectionMillis.
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -74,6 +74,7 @@
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
+	targets  targetStarts
 	pool     *conns.Conns
 	// ports holds the listeners of all ports by name. It isn't changed any more once
 	// they are served.
@@ -103,7 +104,7 @@
 func New(p params.Params, dialect dialct.Dialect, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
 	requests, endRequests := context.WithCancelCause(context.Background())
-	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), requests: requests, endRequests: endRequests}
+	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.isWatcher)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
@@ -149,6 +150,9 @@
 	n.screen.Learn(c)
 	n.ration.Learn(c)
 	n.facts.Learn(c)
+	if startMillis, died := n.targets.learn(c); died {
+		n.suspects.PeerDead(crash.TargetID(c.Peers, startMillis))
+	}
 }
 
 func (n *Sidecar) forget(peer string) {
@@ -156,6 +160,7 @@
 	n.screen.Forget(peer)
 	n.ration.Forget(peer)
 	n.facts.Forget(peer)
+	n.targets.forget(peer)
 }
 
 // OnHeartbeat processes a heartbeat of the target.
