--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,137 @@
+// Package watch follows a table of the store: it reads all rows, and then waits for
+// changes with long polls, through outages of the store and gaps in its history.
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotloom.example/clock"
+	"bergamotloom.example/feed"
+	"bergamotloom.example/pause"
+	"bergamotloom.example/record"
+)
+
+const (
+	// pollMillis is the time between two calls of a node that isn't a watcher;
+	// watcherCheckDelay the time between two checks whether it has become one.
+	pollMillis        = 30_000
+	watcherCheckDelay = 200 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the delay after failed calls, which
+	// doubles with each failure. A node that has read the rows and isn't a
+	// watcher waits for pollMillis all the same.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 1200 * time.Millisecond
+)
+
+// Watch follows one table. Run uses one goroutine; the other methods are safe for
+// many.
+type Watch struct {
+	store feed.Feed
+	table string
+	// minWaitMillis is the min timeout of a long poll, the max is twice that. As
+	// the nodes poll at different times, one of them soon detects that the store
+	// is available again or that a connection is silent, and tells its peers.
+	minWaitMillis int
+	clock         clock.Clock
+	log           *slog.Logger
+	// isWatcher reports whether this node long-polls the store for changes; the
+	// others learn of changes from such nodes.
+	isWatcher func() bool
+	onRows    func([]record.Record)
+
+	calls     atomic.Int64
+	storeLost bool
+}
+
+// New returns a watch of a table. It passes the rows that were read or have changed
+// to onRows; a removed row has no value.
+func New(store feed.Feed, table string, minWaitMillis int, c clock.Clock, log *slog.Logger, isWatcher func() bool, onRows func([]record.Record)) *Watch {
+	return &Watch{store: store, table: table, minWaitMillis: minWaitMillis, clock: c, log: log, isWatcher: isWatcher, onRows: onRows}
+}
+
+// Calls returns the number of calls made to the store.
+func (w *Watch) Calls() int64 {
+	return w.calls.Load()
+}
+
+// Run follows the table until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	var version int64
+	hasVersion := false
+	retryDelay := minRetryDelay
+	calledMillis := int64(0)
+	for ctx.Err() == nil {
+		if hasVersion && !w.isWatcher() && w.clock.Since(calledMillis) < pollMillis {
+			w.sleep(ctx, watcherCheckDelay)
+			continue
+		}
+		calledMillis = w.clock.Now()
+		next, err := w.poll(ctx, version, hasVersion)
+		switch {
+		case errors.Is(err, feed.ErrHistoryDropped):
+			w.log.Info("watch: the store dropped the history, reading all rows", "Table", w.table, "After", version)
+			hasVersion = false
+		case err != nil && ctx.Err() == nil:
+			w.logLost(err)
+			w.sleep(ctx, retryDelay)
+			retryDelay = min(2*retryDelay, maxRetryDelay)
+		case err == nil:
+			w.logRegained()
+			version, hasVersion, retryDelay = next, true, minRetryDelay
+		}
+	}
+}
+
+// poll reads all rows, or, with hasVersion, waits for changes after the version. It
+// returns the version for the next call.
+func (w *Watch) poll(ctx context.Context, version int64, hasVersion bool) (int64, error) {
+	w.calls.Add(1)
+	var rows []record.Record
+	var next int64
+	var err error
+	if hasVersion {
+		rows, next, err = w.store.Changes(ctx, w.table, version, w.waitTimeout())
+	} else {
+		rows, next, err = w.store.Rows(ctx, w.table)
+	}
+	if err == nil {
+		w.onRows(rows)
+	}
+	return next, err
+}
+
+// waitTimeout returns how long the next call may wait for changes. After a failed
+// call it doesn't wait: while a long call has no response yet, the node can't detect
+// that the store is available again.
+func (w *Watch) waitTimeout() time.Duration {
+	if w.storeLost || !w.isWatcher() {
+		return 0
+	}
+	return time.Duration(w.minWaitMillis+rand.IntN(w.minWaitMillis)) * time.Millisecond
+}
+
+func (w *Watch) logLost(err error) {
+	if !w.storeLost {
+		w.storeLost = true
+		w.log.Warn("watch: store lost", "Table", w.table, "Error", err.Error())
+	}
+}
+
+func (w *Watch) logRegained() {
+	if w.storeLost {
+		w.storeLost = false
+		w.log.Info("watch: store regained", "Table", w.table)
+	}
+}
+
+// sleep waits for a random time around delay, so that nodes don't call at the same
+// time.
+func (w *Watch) sleep(ctx context.Context, delay time.Duration) {
+	pause.For(ctx, delay/2+rand.N(delay))
+}
