Which requests crash their targets outlasts restarts, cuts and the reporters

Callers' requests that crash servers were sent to more after three had ended. What was learned about crashes lay in the memory of the nodes that heard the report, and only the reporter's own card carried it: a node that started since, or was cut off, learned nothing once the reporter was gone, and after a restart of all nodes nobody knew. Class of fault: what was learned before a fault and must hold after it has one copy, which ends with a process. Evidence: nodes that started since log no crash but their own. Change: each report is kept as a row in the store, which nodes read at their start and watch; each node tells on its card which requests it refuses and for how much longer. Refusals learned so never grow, and don't come back once a request was found harmless. Old builds ignore the new field of the card.

--- a/card/card.go
+++ b/card/card.go
@@ -79,6 +79,9 @@
 	// LeftTarget by their wall clocks, in milliseconds since 1970; 0 if unknown.
 	TargetStartMillis int64 `cbor:"26,keyasint,omitempty"`
 	LeftStartMillis   int64 `cbor:"27,keyasint,omitempty"`
+	// Refused holds the requests that the node refuses because they crashed
+	// targets, by fingerprint, with how many milliseconds longer.
+	Refused map[string]int64 `cbor:"28,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
--- a/card/card_test.go
+++ b/card/card_test.go
@@ -46,7 +46,7 @@
 		c, advance := clock.NewManual(1000)
 		p, s, q := picker.New(c, "a", 1), screen.New(c, 1), ration.New(c, true, 1)
 		q.SetTeams([]team.Team{{Name: "north", Rate: 10, Burst: 10}})
-		suspects := crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {})
+		suspects := crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {})
 		f := facts.New(c, suspects.OnFact)
 		sound := card.Card{Peers: "sound", Incarnation: 1, Service: "stock", Target: "s", Limit: 50, RunMillis: 20, Cutoff: grade.Count, MinFractionScale: 1}
 		p.Learn(sound)
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -10,10 +10,12 @@
 // the first node that receives the response reports that, and all nodes drop
 // the crashes recorded for the request.
 //
-// Reports are facts that expire, so nothing has to be cleaned up.
+// Reports are facts that expire. They're also kept as rows in the store, for nodes
+// that start later, and each node tells on its card which requests it refuses.
 package crash
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -23,8 +25,11 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
+	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 )
 
@@ -41,6 +46,12 @@
 	// peer and the confirmation that the peer is dead.
 	peerConfirmMillis = 15_000
 
+	// maxCardBlocks bounds how many refused requests a card names, and
+	// maxFactFingerprints how many suspects of one crash, as cards are sent many
+	// times a second.
+	maxCardBlocks       = 32
+	maxFactFingerprints = 128
+
 	crashKeyPrefix    = "crash/"
 	harmlessKeyPrefix = "harmless/"
 )
@@ -52,6 +63,8 @@
 	self    string
 	log     *slog.Logger
 	publish func(key string, version int64, value []byte, ttlMillis int64)
+	// keep stores a row that outlasts all nodes, if there is a store for it.
+	keep func(key string, value []byte)
 
 	// hasSuspects is read without the lock.
 	hasSuspects atomic.Bool
@@ -59,9 +72,29 @@
 	// crashCount numbers the crashes of the node's own target.
 	crashCount int64
 	crashes    map[string]crashTimes
+	// blocked holds the requests that a peer refuses, by fingerprint. They're kept
+	// for BlockMillis after their end, so that the cards of slower peers don't
+	// bring them back.
+	blocked map[string]block
+	// harmlessAt holds when requests were last found harmless.
+	harmlessAt map[string]int64
 	lost       map[string]*lostRequests
 }
 
+// block is a request that a peer refuses.
+type block struct {
+	until int64
+	learned
+}
+
+// row is a report of a crash as it's kept in the store.
+type row struct {
+	Crash        string
+	Fingerprints []string
+	// AtMillis is when the crash was reported, by the reporter's wall clock.
+	AtMillis int64
+}
+
 // crashTimes holds when and from whom this node learned of each crash of one
 // fingerprint, by the ID of the crash.
 type crashTimes map[string]learned
@@ -90,15 +123,19 @@
 
 // New returns an empty set of suspects. Self identifies the node by its address
 // and incarnation, separated by a slash. Publish sends a fact to all nodes for
-// ttlMillis milliseconds.
-func New(c clock.Clock, self string, log *slog.Logger, publish func(key string, version int64, value []byte, ttlMillis int64)) *Suspects {
+// ttlMillis milliseconds. Keep stores a row, which OnRow takes in at other nodes and
+// after a restart.
+func New(c clock.Clock, self string, log *slog.Logger, publish func(key string, version int64, value []byte, ttlMillis int64), keep func(key string, value []byte)) *Suspects {
 	return &Suspects{
-		clock:   c,
-		self:    self,
-		log:     log,
-		publish: publish,
-		crashes: make(map[string]crashTimes),
-		lost:    make(map[string]*lostRequests),
+		clock:      c,
+		self:       self,
+		log:        log,
+		publish:    publish,
+		keep:       keep,
+		crashes:    make(map[string]crashTimes),
+		blocked:    make(map[string]block),
+		harmlessAt: make(map[string]int64),
+		lost:       make(map[string]*lostRequests),
 	}
 }
 
@@ -173,12 +210,95 @@
 	if len(r.Fingerprints) == 0 {
 		return
 	}
+	now := s.clock.Now()
+	s.record(r, s.self, now)
+	s.keep(rowKey(id, s.self), encodeRow(row{r.Crash, r.Fingerprints, now}))
+	r.Fingerprints = r.Fingerprints[:min(len(r.Fingerprints), maxFactFingerprints)]
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		panic("crash: encoding a report: " + err.Error())
 	}
-	s.record(r, s.self)
-	s.publish(crashKeyPrefix+s.self+"/"+id, s.clock.Now(), value, BlockMillis)
+	s.publish(crashKeyPrefix+s.self+"/"+id, now, value, BlockMillis)
+}
+
+// rowKey returns the key of the row in which a node keeps its report of a crash. IDs
+// may be longer than a key.
+func rowKey(id, reporter string) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(id+"\x00"+reporter))
+}
+
+// encodeRow returns the JSON of a row, which can't fail for its types.
+func encodeRow(r row) []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic("crash: encoding a row: " + err.Error())
+	}
+	return value
+}
+
+// OnRow takes in a row that any node has kept. It returns an error if the row is
+// malformed; such a row is ignored.
+func (s *Suspects) OnRow(key string, value []byte) error {
+	var r row
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.Wrap(err, "crash: row "+key)
+	}
+	if r.Crash == "" || len(r.Fingerprints) > maxFingerprints {
+		return errors.Errorf("crash: row %s: it has no crash or too many fingerprints", key)
+	}
+	now := s.clock.Now()
+	if at := min(r.AtMillis, now); now-at < BlockMillis {
+		s.record(report{r.Crash, r.Fingerprints}, "the store", at)
+	}
+	return nil
+}
+
+// IsExpired reports whether a row isn't needed any more.
+func (s *Suspects) IsExpired(value []byte) bool {
+	var r row
+	return json.Unmarshal(value, &r) == nil && r.AtMillis > 0 && s.clock.Now()-r.AtMillis > 2*BlockMillis
+}
+
+// Describe adds the requests that this node refuses to its card.
+func (s *Suspects) Describe(c card.Card) card.Card {
+	if !s.hasSuspects.Load() {
+		return c
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	for _, f := range s.refused(now) {
+		if len(c.Refused) >= maxCardBlocks {
+			break
+		}
+		if c.Refused == nil {
+			c.Refused = make(map[string]int64)
+		}
+		c.Refused[f], _ = s.remaining(f, now)
+	}
+	return c
+}
+
+// Learn takes in the requests that a peer refuses from its card. A node that was
+// restarted or cut off doesn't know the crashes.
+func (s *Suspects) Learn(c card.Card) {
+	if len(c.Refused) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	s.removeExpired(now)
+	for f, leftMillis := range c.Refused {
+		_, known := s.blocked[f]
+		_, refused := s.remaining(f, now)
+		if _, harmless := s.harmlessAt[f]; known || refused || harmless || leftMillis <= 0 {
+			continue
+		}
+		s.blocked[f] = block{now + min(leftMillis, BlockMillis), learned{now, c.Peers}}
+		s.log.Warn("crash: a request is refused from now on", "Fingerprint", f, "Crashes", s.describe(f, now))
+	}
+	s.hasSuspects.Store(len(s.crashes) > 0 || len(s.blocked) > 0)
 }
 
 // OnFact applies a fact that any node published. Facts of other packages are
@@ -190,35 +310,43 @@
 		if cbor.Unmarshal(value, &r) != nil || len(r.Fingerprints) > maxFingerprints {
 			return
 		}
-		s.record(r, strings.TrimSuffix(strings.TrimPrefix(key, crashKeyPrefix), "/"+r.Crash))
+		s.record(r, strings.TrimSuffix(strings.TrimPrefix(key, crashKeyPrefix), "/"+r.Crash), s.clock.Now())
 	case strings.HasPrefix(key, harmlessKeyPrefix):
 		s.removeCrashes(strings.TrimPrefix(key, harmlessKeyPrefix), "a peer")
 	}
 }
 
-// record takes in the report of a crash from a node.
-func (s *Suspects) record(r report, from string) {
+// record takes in the report from a node of a crash that happened at a moment of
+// this node's clock. Requests that were found harmless since are left out.
+func (s *Suspects) record(r report, from string, at int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
 	s.removeExpired(now)
-	s.log.Info("crash: a target died", "Crash", r.Crash, "Suspects", len(r.Fingerprints), "From", from)
+	recorded := false
 	for _, f := range r.Fingerprints {
+		if harmlessAt, ok := s.harmlessAt[f]; ok && at <= harmlessAt {
+			continue
+		}
 		times, ok := s.crashes[f]
 		if !ok {
 			times = make(crashTimes)
 			s.crashes[f] = times
 		}
-		if _, recorded := times[r.Crash]; recorded {
+		if _, ok := times[r.Crash]; ok {
 			continue
 		}
-		_, wasRefused := times.remaining(now)
-		times[r.Crash] = learned{now, from}
-		if _, refused := times.remaining(now); refused && !wasRefused {
-			s.log.Warn("crash: a request is refused from now on", "Fingerprint", f, "Crashes", times.describe(now))
+		recorded = true
+		_, wasRefused := s.remaining(f, now)
+		times[r.Crash] = learned{at, from}
+		if _, refused := s.remaining(f, now); refused && !wasRefused {
+			s.log.Warn("crash: a request is refused from now on", "Fingerprint", f, "Crashes", s.describe(f, now))
 		}
 	}
-	s.hasSuspects.Store(true)
+	if recorded {
+		s.log.Info("crash: a target died", "Crash", r.Crash, "Suspects", len(r.Fingerprints), "From", from, "AgeMillis", now-at)
+	}
+	s.hasSuspects.Store(len(s.crashes) > 0 || len(s.blocked) > 0)
 }
 
 // removeCrashes removes the crashes of a request that got a response, as that node
@@ -226,15 +354,19 @@
 func (s *Suspects) removeCrashes(fingerprint, from string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	times, ok := s.crashes[fingerprint]
-	delete(s.crashes, fingerprint)
-	if now := s.clock.Now(); ok && len(times) > 0 {
-		s.log.Info("crash: a request is harmless", "Fingerprint", fingerprint, "Crashes", times.describe(now), "From", from)
+	now := s.clock.Now()
+	crashes := s.describe(fingerprint, now)
+	if len(crashes) == 0 {
+		return false
 	}
-	return ok
+	delete(s.crashes, fingerprint)
+	delete(s.blocked, fingerprint)
+	s.harmlessAt[fingerprint] = now
+	s.log.Info("crash: a request is harmless", "Fingerprint", fingerprint, "Crashes", crashes, "From", from)
+	return true
 }
 
-// removeExpired removes crashes that are older than BlockMillis.
+// removeExpired removes what is older than BlockMillis.
 func (s *Suspects) removeExpired(now int64) {
 	for f, times := range s.crashes {
 		for id, l := range times {
@@ -246,7 +378,9 @@
 			delete(s.crashes, f)
 		}
 	}
-	s.hasSuspects.Store(len(s.crashes) > 0)
+	maps.DeleteFunc(s.blocked, func(_ string, b block) bool { return now >= b.until+BlockMillis })
+	maps.DeleteFunc(s.harmlessAt, func(_ string, at int64) bool { return now-at >= BlockMillis })
+	s.hasSuspects.Store(len(s.crashes) > 0 || len(s.blocked) > 0)
 }
 
 // ResponseReceived records that a target responded to the request. If the
@@ -258,14 +392,41 @@
 }
 
 // Refuses reports whether the request is refused at present, and in how many
-// milliseconds the oldest of its crashes expires.
+// milliseconds that ends.
 func (s *Suspects) Refuses(fingerprint string) (leftMillis int64, refused bool) {
 	if !s.hasSuspects.Load() {
 		return 0, false
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.crashes[fingerprint].remaining(s.clock.Now())
+	return s.remaining(fingerprint, s.clock.Now())
+}
+
+// remaining reports whether a request is refused, by the crashes that this node
+// knows or as a peer refuses it, and in how many milliseconds that ends.
+func (s *Suspects) remaining(fingerprint string, now int64) (leftMillis int64, refused bool) {
+	leftMillis, refused = s.crashes[fingerprint].remaining(now)
+	if b, ok := s.blocked[fingerprint]; ok && now < b.until {
+		return max(leftMillis, b.until-now), true
+	}
+	return leftMillis, refused
+}
+
+// refused returns the fingerprints of all refused requests. The mutex must be held.
+func (s *Suspects) refused(now int64) []string {
+	var all []string
+	for f := range s.crashes {
+		if _, ok := s.remaining(f, now); ok {
+			all = append(all, f)
+		}
+	}
+	for f := range s.blocked {
+		if _, ok := s.remaining(f, now); ok && s.crashes[f] == nil {
+			all = append(all, f)
+		}
+	}
+	slices.Sort(all)
+	return all
 }
 
 // remaining reports whether there are enough recent crashes for a refusal, and
@@ -295,12 +456,21 @@
 	return texts
 }
 
-// Describe returns the crashes of a request for logs, with their ages and with the
-// nodes that reported them.
-func (s *Suspects) Describe(fingerprint string) []string {
+// describe returns for logs why a request is suspect. The mutex must be held.
+func (s *Suspects) describe(fingerprint string, now int64) []string {
+	texts := s.crashes[fingerprint].describe(now)
+	if b, ok := s.blocked[fingerprint]; ok && now < b.until {
+		texts = append(texts, fmt.Sprintf("refused by %s, known for %d ms", b.from, now-b.at))
+	}
+	return texts
+}
+
+// Crashes returns for logs why a request is suspect: its crashes with their ages and
+// reporters, and the peer that refuses it.
+func (s *Suspects) Crashes(fingerprint string) []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.crashes[fingerprint].describe(s.clock.Now())
+	return s.describe(fingerprint, s.clock.Now())
 }
 
 // Refused returns the fingerprints of the requests that are refused at present, and
@@ -310,10 +480,11 @@
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
 	s.removeExpired(now)
-	for _, f := range slices.Sorted(maps.Keys(s.crashes)) {
-		if _, ok := s.crashes[f].remaining(now); ok {
-			refused = append(refused, f)
+	refused = s.refused(now)
+	for f := range s.crashes {
+		if _, ok := s.remaining(f, now); !ok {
+			suspects++
 		}
 	}
-	return refused, len(s.crashes) - len(refused)
+	return refused, suspects
 }
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/crash"
 )
@@ -26,7 +27,7 @@
 					n.OnFact(key, value)
 				}
 			}
-		}))
+		}, func(string, []byte) {}))
 	}
 	return f
 }
@@ -65,7 +66,7 @@
 	c, _ := clock.NewManual(1000)
 	var key string
 	var value []byte
-	a := crash.New(c, "a", slog.New(slog.DiscardHandler), func(k string, _ int64, v []byte, _ int64) { key, value = k, v })
+	a := crash.New(c, "a", slog.New(slog.DiscardHandler), func(k string, _ int64, v []byte, _ int64) { key, value = k, v }, func(string, []byte) {})
 	a.ReportCrash([]string{"bad", ""})
 	a.OnFact(key, value)
 	a.OnFact(key, []byte("not CBOR"))
@@ -87,3 +88,86 @@
 	f.nodes[0].PeerDead("dead/2")
 	assert.Equal(t, f.refusingNodes("bad"), 3)
 }
+
+// newNode returns a node alone, whose published facts and kept rows are dropped.
+func newNode(c clock.Clock, self string) *crash.Suspects {
+	return crash.New(c, self, slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {})
+}
+
+func TestNodeThatStartsLaterLearnsRefusalsFromCards(t *testing.T) {
+	c, advance := clock.NewManual(1000)
+	old, started := newNode(c, "old"), newNode(c, "started")
+	old.ReportTargetCrash("x/1", []string{"bad", "other"})
+	old.ReportTargetCrash("y/1", []string{"bad"})
+	learn := func(to, from *crash.Suspects) { to.Learn(from.Describe(card.Card{Peers: "peer"})) }
+	learn(started, old)
+	_, refused := started.Refuses("bad")
+	assert.Assert(t, refused)
+	_, refused = started.Refuses("other")
+	assert.Assert(t, !refused)
+	// What two nodes tell each other ends all the same.
+	for range 3 * crash.BlockMillis / 100 {
+		learn(old, started)
+		advance(50)
+		learn(started, old)
+		advance(50)
+	}
+	for _, n := range []*crash.Suspects{old, started} {
+		_, refused = n.Refuses("bad")
+		assert.Assert(t, !refused)
+	}
+}
+
+func TestHarmlessRequestIsRefusedAgainByAnOlderCard(t *testing.T) {
+	c, _ := clock.NewManual(1000)
+	first, second := newNode(c, "first"), newNode(c, "second")
+	for _, n := range []*crash.Suspects{first, second} {
+		n.ReportTargetCrash("x/1", []string{"popular"})
+		n.ReportTargetCrash("y/1", []string{"popular"})
+	}
+	first.ResponseReceived("popular")
+	first.Learn(second.Describe(card.Card{Peers: "second"}))
+	_, refused := first.Refuses("popular")
+	assert.Assert(t, !refused)
+}
+
+func TestRowsOutlastAllNodes(t *testing.T) {
+	c, advance := clock.NewManual(1000)
+	rows := make(map[string][]byte)
+	reporter := crash.New(c, "reporter", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(key string, value []byte) { rows[key] = value })
+	reporter.ReportTargetCrash("x/1", []string{"bad", "other"})
+	reporter.ReportTargetCrash("y/1", []string{"bad"})
+	assert.Equal(t, len(rows), 2)
+	read := func() *crash.Suspects {
+		started := newNode(c, "started")
+		for key, value := range rows {
+			assert.NilError(t, started.OnRow(key, value))
+			// Read again, the same crash counts once.
+			assert.NilError(t, started.OnRow(key, value))
+		}
+		return started
+	}
+	refused, suspects := read().Refused()
+	assert.DeepEqual(t, refused, []string{"bad"})
+	assert.Equal(t, suspects, 1)
+	advance(crash.BlockMillis)
+	refused, suspects = read().Refused()
+	assert.Equal(t, len(refused)+suspects, 0)
+	for _, value := range rows {
+		assert.Assert(t, !reporter.IsExpired(value))
+	}
+	advance(crash.BlockMillis + 1)
+	for _, value := range rows {
+		assert.Assert(t, reporter.IsExpired(value))
+	}
+}
+
+func TestMalformedRowsAreIgnored(t *testing.T) {
+	c, _ := clock.NewManual(1000)
+	n := newNode(c, "node")
+	for _, value := range []string{"", "{", "[]", `{"Crash":7}`, `{"Fingerprints":["x"]}`, "\xff"} {
+		assert.Assert(t, n.OnRow("key", []byte(value)) != nil, value)
+	}
+	refused, suspects := n.Refused()
+	assert.Equal(t, len(refused)+suspects, 0)
+}
--- a/inbnd/response_test.go
+++ b/inbnd/response_test.go
@@ -60,7 +60,7 @@
 	}()
 	c := clock.New()
 	pool := conns.New(l.Addr().String(), c, 10_000)
-	g := inbnd.New(c, dialect, "self", "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}), func(string) {}, slog.New(slog.NewJSONHandler(log, nil)), metrics.NewRegistry())
+	g := inbnd.New(c, dialect, "self", "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {}), func(string) {}, slog.New(slog.NewJSONHandler(log, nil)), metrics.NewRegistry())
 	g.HandleHeartbeat(heartbeat("a", 100, 1))
 	return g
 }
--- a/inbnd/target_test.go
+++ b/inbnd/target_test.go
@@ -18,7 +18,7 @@
 
 func newGate() (*inbnd.Gate, func(float64)) {
 	c, advance := clock.NewManual(1_000_000)
-	g := inbnd.New(c, dialct.Dialect{}, "self", "stock", 1500, true, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}), func(string) {}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	g := inbnd.New(c, dialct.Dialect{}, "self", "stock", 1500, true, conns.New("127.0.0.1:1", c, 1000), parent.New(c, "."), crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {}), func(string) {}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	return g, advance
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -141,7 +141,7 @@
 		send(to, gossipKind, message)
 	})
 	n.roster = roster.New(n.platform.Table(), n.clock, rand.Uint64(), ident.New)
-	n.suspects = crash.New(n.clock, incarnationID(self), n.log, n.publishFor)
+	n.suspects = crash.New(n.clock, incarnationID(self), n.log, n.publishFor, func(string, []byte) {})
 	n.gossip.OnMember = n.memberChanged
 	n.gossip.OnFact = func(key string, version int64, value []byte) {
 		n.spread.OnFact(key, version, value)
--- a/outbnd/retry_test.go
+++ b/outbnd/retry_test.go
@@ -21,7 +21,7 @@
 func newRequest(t *testing.T, idempotent bool) (*Entry, *request) {
 	t.Helper()
 	c, _ := clock.NewManual(1000)
-	e := &Entry{clock: c, suspects: crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}), retryBudgets: make(map[string]*ratio.Ratio), retryRatio: 1}
+	e := &Entry{clock: c, suspects: crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {}), retryBudgets: make(map[string]*ratio.Ratio), retryRatio: 1}
 	for range maxSavedRetries {
 		e.retryBudget("stock").countFirstAttempt(false)
 	}
--- a/outbnd/suspect.go
+++ b/outbnd/suspect.go
@@ -42,7 +42,7 @@
 
 // suspectDetail describes for logs why requests with this fingerprint are refused.
 func (e *Entry) suspectDetail(fingerprint string) string {
-	return "fingerprint " + fingerprint + ": " + strings.Join(e.suspects.Describe(fingerprint), "; ")
+	return "fingerprint " + fingerprint + ": " + strings.Join(e.suspects.Crashes(fingerprint), "; ")
 }
 
 // fingerprint returns the same value for requests with the same method, host,
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -68,6 +68,7 @@
 			n.retry(ctx, "writing the node's row", func() error { return n.writeNode(ctx) })
 			if n.isWatcher() {
 				n.retry(ctx, "removing stale rows", func() error { return n.removeStale(ctx) })
+				n.retry(ctx, "removing stale rows", func() error { return n.removeExpiredCrashes(ctx) })
 			}
 		}
 		if peers, live := n.mesh.PeerCounts(); live*2 < peers {
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -40,7 +40,7 @@
 	mux.HandleFunc("GET "+refusedPath, func(w http.ResponseWriter, _ *http.Request) {
 		refused, _ := n.suspects.Refused()
 		for _, f := range refused {
-			fmt.Fprintln(w, f, strings.Join(n.suspects.Describe(f), "; "))
+			fmt.Fprintln(w, f, strings.Join(n.suspects.Crashes(f), "; "))
 		}
 	})
 	return mux
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -36,6 +36,7 @@
 	"bergamotloom.example/picker"
 	"bergamotloom.example/ration"
 	"bergamotloom.example/screen"
+	"bergamotloom.example/watch"
 )
 
 const (
@@ -64,13 +65,15 @@
 	log    *slog.Logger
 	store  feed.Feed
 	follow *follow.Follow
-	gate   *inbnd.Gate
-	entry  *outbnd.Entry
-	mesh   *mesh.Mesh
-	ration *ration.Ration
-	picker *picker.Picker
-	screen *screen.Screen
-	hops   *hops.Hops
+	// crashes follows the table of crashes.
+	crashes *watch.Watch
+	gate    *inbnd.Gate
+	entry   *outbnd.Entry
+	mesh    *mesh.Mesh
+	ration  *ration.Ration
+	picker  *picker.Picker
+	screen  *screen.Screen
+	hops    *hops.Hops
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
@@ -106,11 +109,12 @@
 	requests, endRequests := context.WithCancelCause(context.Background())
 	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.isWatcher)
+	n.crashes = watch.New(store, crashesTable, crashesWaitMillis, c, log, n.isWatcher, n.learnCrashes)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
 	self := card.Card{Peers: p.Peers, Incarnation: time.Now().UnixMilli(), Centre: p.Centre, Hops: p.Hops}
 	n.facts = facts.New(c, func(key string, value []byte) { n.suspects.OnFact(key, value) })
-	n.suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), log, n.facts.Publish)
+	n.suspects = crash.New(c, p.Peers+"/"+strconv.FormatInt(self.Incarnation, 10), log, n.publishFact, n.keepCrash)
 	n.gate = inbnd.New(c, dialect, p.Peers, p.Service, p.HeartbeatMillis, p.FirstStart, n.pool, parents, n.suspects, n.onLeavingResponse, log, n.registry)
 	n.ration = ration.New(c, p.FirstStart, seed)
 	n.picker = picker.New(c, p.Centre, seed)
@@ -133,7 +137,7 @@
 // instance selection and outlier ejection.
 func (n *Sidecar) describe() card.Card {
 	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version()}
-	c = n.facts.Describe(n.ration.Describe(n.gate.Describe(c)))
+	c = n.suspects.Describe(n.facts.Describe(n.ration.Describe(n.gate.Describe(c))))
 	own := c
 	own.Peers, own.Centre, own.Hops = n.params.Peers, n.params.Centre, n.params.Hops
 	n.picker.Learn(own)
@@ -150,6 +154,7 @@
 	n.screen.Learn(c)
 	n.ration.Learn(c)
 	n.facts.Learn(c)
+	n.suspects.Learn(c)
 	if startMillis, died := n.targets.learn(c); died {
 		n.suspects.PeerDead(crash.TargetID(c.Peers, startMillis))
 	}
@@ -213,6 +218,7 @@
 		return err
 	}
 	n.runTask(tasks, n.follow.Run)
+	n.runTask(tasks, n.crashes.Run)
 	n.runTask(tasks, n.mesh.Run)
 	n.runTask(tasks, n.tick)
 	n.runTask(tasks, n.checkAccepting)
