Gates refuse requests that are known to crash targets

Callers' requests that crash servers were sent to more after three had ended. Cause: only the entry asked whether a request is refused, before its first send. One that waited at a gate by then, or that came from a node that doesn't know the crashes, was run. Class of fault: a decision is made once, at a distance from its effect, and not looked at again when more is known. Change: the gate asks once more right before it sends a request to its target, and refuses it with CrashSuspect.

--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -151,6 +152,10 @@
 	if now, ok := g.current(); !ok || now.Target != target.Target {
 		return output.Refused(reason.Leaving, "the target left")
 	}
+	// More may be known of the request than when it was admitted at its entry.
+	if remaining, refused := g.suspects.Refuses(t.Fingerprint); refused {
+		return output.Refused(reason.CrashSuspect, "at the gate: "+strings.Join(g.suspects.Crashes(t.Fingerprint), "; ")).WithRetryAfter(remaining)
+	}
 	leftMillis := deadline - g.clock.Fine()
 	if leftMillis < 1 {
 		return output.Refused(reason.DeadlineExceeded, "at the gate")
--- a/inbnd/response_test.go
+++ b/inbnd/response_test.go
@@ -42,6 +42,13 @@
 
 // newLoggingGateTo is newGateTo with a writer for the gate's log.
 func newLoggingGateTo(t *testing.T, log io.Writer, handle func(c net.Conn, r *bufio.Reader)) *inbnd.Gate {
+	t.Helper()
+	suspects := crash.New(clock.New(), "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {})
+	return newGateWith(t, suspects, log, handle)
+}
+
+// newGateWith is newLoggingGateTo with the crash suspects that the node knows.
+func newGateWith(t *testing.T, suspects *crash.Suspects, log io.Writer, handle func(c net.Conn, r *bufio.Reader)) *inbnd.Gate {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -60,7 +67,7 @@
 	}()
 	c := clock.New()
 	pool := conns.New(l.Addr().String(), c, 10_000)
-	g := inbnd.New(c, dialect, "self", "stock", 1500, true, pool, parent.New(c, "."), crash.New(c, "self", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(string, []byte) {}), func(string) {}, slog.New(slog.NewJSONHandler(log, nil)), metrics.NewRegistry())
+	g := inbnd.New(c, dialect, "self", "stock", 1500, true, pool, parent.New(c, "."), suspects, func(string) {}, slog.New(slog.NewJSONHandler(log, nil)), metrics.NewRegistry())
 	g.HandleHeartbeat(heartbeat("a", 100, 1))
 	return g
 }
