Only a complete response of a successful run takes a crash back

Callers' requests that crash servers were sent to more after three had ended. The beginning of any response counted as proof that a request is harmless, also that of a failed run, or one that broke off as its server ended. All nodes then dropped the crashes that they knew. Change: the gate tells so once the response of a run that didn't fail was read to its end.

--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -184,17 +184,17 @@
 	}
 	g.followAdvice(response, target, startedAt)
 	o := g.readResponse(response, func(complete bool) {
-		if !complete {
+		switch {
+		case !complete:
 			g.crashes.requestEnded(t.Fingerprint, startedAt, ctx.Err() == nil)
+		case g.isSuccess(response):
+			g.suspects.ResponseReceived(t.Fingerprint)
 		}
 		done(complete)
 	})
 	if o.Reason != reason.InstanceLost {
 		g.crashes.responded()
 	}
-	if o.HasResponse() {
-		g.suspects.ResponseReceived(t.Fingerprint)
-	}
 	g.recordRun(t, o, g.clock.Fine()-startedAt)
 	return o
 }
@@ -218,6 +218,12 @@
 	return responseID == id || responseID == "" && response.Header.Get(g.dialect.Signature) == ""
 }
 
+// isSuccess reports whether the target has run the request and its run didn't fail.
+func (g *Gate) isSuccess(response *http.Response) bool {
+	h := response.Header
+	return h.Get(g.dialect.Signature) != "" && h.Get(g.dialect.NotExecuted) == "" && response.StatusCode < http.StatusInternalServerError
+}
+
 // probe marks the target as unreachable if it refuses a connection.
 func (g *Gate) probe() {
 	target, ok := g.Target()
--- a/inbnd/suspect_test.go
+++ b/inbnd/suspect_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +46,32 @@
 	return o
 }
 
+// A response that reports a failed run, or that breaks off, doesn't prove that the
+// request crashes no target.
+func TestFailedRunTakesACrashBack(t *testing.T) {
+	const bufferedBytes = 64 << 10
+	for name, c := range map[string]struct {
+		response string
+		harmless bool
+	}{
+		"success":    {signed("a", "x"), true},
+		"not found":  {"HTTP/1.1 404 Not Found\r\nRequest-Id: a\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n", true},
+		"failed run": {"HTTP/1.1 500 Internal Server Error\r\nRequest-Id: a\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n", false},
+		"breaks off": {fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Signature: s\r\nContent-Length: %d\r\n\r\n%s", 3*bufferedBytes, strings.Repeat("x", 2*bufferedBytes)), false},
+		"refusal":    {"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		suspects := newSuspects()
+		suspects.ReportTargetCrash("x/1", []string{fingerprint})
+		g := newGateWith(t, suspects, io.Discard, func(to net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(to, c.response)
+			}
+		})
+		doSuspect(t, g)
+		assert.Equal(t, len(suspects.Crashes(fingerprint)) == 0, c.harmless, name)
+	}
+}
+
 // A request that waits at a gate, or that comes from a node that doesn't know the
 // crashes, is refused there.
 func TestRequestThatWaitsAtTheGateCrashesItsTarget(t *testing.T) {
