Reports that requests are harmless don't push reports of crashes off the card

Callers' requests that crash servers were sent to more after three had ended. Cause: a card carries eight facts. After a crash under load, each suspect that gets a response gives one fact, so that the report of the next crash, or of the same one, could leave the card before a peer got it. Change: facts without and with a value have bounds of their own, the latter also in bytes. Result: TestFactsWithoutAValuePushOutTheOthers failed before and passes.

--- a/facts/facts.go
+++ b/facts/facts.go
@@ -4,6 +4,7 @@
 package facts
 
 import (
+	"slices"
 	"sync"
 
 	"bergamotloom.example/card"
@@ -11,10 +12,15 @@
 	"bergamotloom.example/fact"
 )
 
-// maxFacts bounds how many facts a card carries, as cards are sent as datagrams
-// many times a second. A further fact replaces the oldest one, even if that
-// hasn't expired.
-const maxFacts = 8
+// These bound the facts that a card carries, as cards are sent as datagrams many
+// times a second. A further fact replaces the oldest ones of its kind, even if they
+// haven't expired: there may be many without a value in a short time, which must
+// not push out the others.
+const (
+	maxFacts      = 8
+	maxValueFacts = 16
+	maxValueBytes = 4 << 10
+)
 
 // Facts holds the facts that this node publishes, and which facts of its peers
 // it has handled. It's safe for concurrent use.
@@ -53,8 +59,26 @@
 	defer f.mutex.Unlock()
 	f.count++
 	f.own = append(f.own, publishedFact{fact.Fact{Number: f.count, Key: key, Value: value}, f.clock.Now() + ttlMillis})
-	if len(f.own) > maxFacts {
-		f.own = f.own[1:]
+	f.trim(func(r fact.Fact) bool { return len(r.Value) == 0 }, maxFacts, 0)
+	f.trim(func(r fact.Fact) bool { return len(r.Value) > 0 }, maxValueFacts, maxValueBytes)
+}
+
+// trim removes expired facts, and the oldest ones of a kind while there are more
+// than maxCount of it or their values have more than maxBytes. The latest one stays.
+// The mutex must be held.
+func (f *Facts) trim(isOfKind func(fact.Fact) bool, maxCount, maxBytes int) {
+	now := f.clock.Now()
+	count, size := 0, 0
+	for i := len(f.own) - 1; i >= 0; i-- {
+		p := f.own[i]
+		if !isOfKind(p.fact) {
+			continue
+		}
+		count++
+		size += len(p.fact.Value)
+		if now >= p.expiresAt || count > maxCount || size > maxBytes && count > 1 {
+			f.own = slices.Delete(f.own, i, i+1)
+		}
 	}
 }
 
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -49,3 +49,25 @@
 	assert.Equal(t, len(carried), 8)
 	assert.Equal(t, carried[7].Key, "99")
 }
+
+func TestFactsWithoutAValuePushOutTheOthers(t *testing.T) {
+	c, advance := clock.NewManual(0)
+	publisher := facts.New(c, nil)
+	publisher.Publish("crash", 0, []byte("value"), 100)
+	for i := range 100 {
+		publisher.Publish(strconv.Itoa(i), 0, nil, 100)
+	}
+	carried := publisher.Describe(card.Card{}).Facts
+	assert.Equal(t, carried[0].Key, "crash")
+	assert.Equal(t, len(carried), 9)
+	// Values are bounded by their size, but for the latest one.
+	for range 3 {
+		publisher.Publish("large", 0, make([]byte, 3000), 100)
+	}
+	publisher.Publish("larger", 0, make([]byte, 10_000), 100)
+	carried = publisher.Describe(card.Card{}).Facts
+	assert.Equal(t, carried[len(carried)-1].Key, "larger")
+	assert.Equal(t, len(carried), 9)
+	advance(100)
+	assert.Equal(t, len(publisher.Describe(card.Card{}).Facts), 0)
+}
