Facts on relayed cards are bounded, so that a message can be sent

Cause: a card may carry 4 KB of reports of crashes; with 16 relayed cards a message could be longer than a datagram, and then nothing is sent, not even the node's own card. Change: beyond 16 KB, relayed cards go without facts.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -58,6 +58,9 @@
 	// forgetMillis is after how long without a new card a peer is forgotten.
 	forgetMillis     = 600_000
 	maxDatagramBytes = 64 << 10
+	// maxRelayedFactBytes bounds the facts on the relayed cards of one message: more
+	// might make it too long to be sent at all.
+	maxRelayedFactBytes = 16 << 10
 )
 
 // Mesh exchanges the cards of one node with those of its peers. It's safe for
@@ -258,8 +261,16 @@
 	limitedCount := min(max(count/limitedDivisor, proportionalCount), len(limited))
 	all := slices.Concat(limited[:limitedCount], recent, older)
 	var cards []card.Card
+	factBytes := 0
 	for _, p := range all[:min(count, len(all))] {
-		cards = append(cards, p.card)
+		c := p.card
+		for _, r := range c.Facts {
+			factBytes += len(r.Key) + len(r.Value)
+		}
+		if factBytes > maxRelayedFactBytes {
+			c.Facts = nil
+		}
+		cards = append(cards, c)
 	}
 	return cards
 }
