Nodes log and count the era of the store

Callers saw nothing on our system; on others a confirmed change was lost in a drill in which the store was restored from a copy. Cause: not known yet; nobody read the header that tells of a restore. Change: the client of the store reads the era of each response; a line when it rises, and the metric store.era. A malformed era is logged once and ignored.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -32,4 +32,7 @@
 	// Remove deletes a row if it still has the given version, and returns
 	// ErrChanged if it doesn't.
 	Remove(ctx context.Context, table, key string, version int64) error
+	// Era returns how often the store has been restored from a copy, as far as its
+	// responses have told.
+	Era() int64
 }
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -74,7 +74,8 @@
 	runtime.ReadMemStats(&memory)
 	for name, value := range map[string]int64{
 		"config.version": n.follow.Version(),
-		"store.calls":    n.follow.Calls(),
+		"store.calls":    n.follow.Calls() + n.crashes.Calls(),
+		"store.era":      n.store.Era(),
 		"gate.running":   int64(running),
 		"gate.waiting":   int64(waiting),
 		// In thousandths of a request per second; 0 without a limit.
