Positions in the store's history carry its era

Callers saw nothing on our system; in the test a confirmed change isn't in force until the next one. A position was a version alone. After a restore from a copy versions are given out again, so a node went on from a version that means another change now, and a stale row's version could be that of a fresh row with the same key. Class of fault: identifiers are compared beyond the scope in which they are unique. Evidence: TestChangeIsMissedAfterTheStoreWasRestored, where the node logs the new era and no change after it. Change: a position is the era and the version (package cursor). A response of another era, or with a lower version, means that all rows are read anew; a row isn't removed by a version of another era.

--- a/sidecr/crashes.go
+++ b/sidecr/crashes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotloom.example/crash"
+	"bergamotloom.example/cursor"
 	"bergamotloom.example/record"
 )
 
@@ -31,7 +32,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.requests, crash.BlockMillis*time.Millisecond)
 		defer cancel()
-		n.retry(ctx, "recording a crash", func() error { return n.store.Put(ctx, crashesTable, key, value) })
+		n.retry(ctx, "recording a crash", func() error {
+			_, err := n.store.Put(ctx, crashesTable, key, value)
+			return err
+		})
 	}()
 }
 
@@ -49,13 +53,13 @@
 
 // removeExpiredCrashes removes the rows of crashes that aren't needed any more.
 func (n *Sidecar) removeExpiredCrashes(ctx context.Context) error {
-	rows, _, err := n.store.Rows(ctx, crashesTable)
+	rows, at, err := n.store.Rows(ctx, crashesTable)
 	if err != nil {
 		return err
 	}
 	for _, r := range rows {
 		if n.suspects.IsExpired(r.Value) {
-			n.remove(ctx, crashesTable, r.Key, r.Version)
+			n.remove(ctx, crashesTable, r.Key, cursor.Cursor{Era: at.Era, Version: r.Version})
 		}
 	}
 	return nil
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -144,7 +144,8 @@
 	if n.gate.LastLeft() != target {
 		return nil
 	}
-	return n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
+	_, err := n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
+	return err
 }
 
 // retry repeats work with an exponential delay until it succeeds.
--- a/sidecr/rows.go
+++ b/sidecr/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"bergamotloom.example/cursor"
 	"bergamotloom.example/record"
 )
 
@@ -40,12 +41,13 @@
 }
 
 func (n *Sidecar) writeNode(ctx context.Context) error {
-	return n.store.Put(ctx, nodesTable, n.params.Peers, encodeRow(nodeRow{n.params.Name, n.clock.Now()}))
+	_, err := n.store.Put(ctx, nodesTable, n.params.Peers, encodeRow(nodeRow{n.params.Name, n.clock.Now()}))
+	return err
 }
 
 // removeStale removes the rows of dead nodes and of their targets.
 func (n *Sidecar) removeStale(ctx context.Context) error {
-	nodes, _, err := n.store.Rows(ctx, nodesTable)
+	nodes, at, err := n.store.Rows(ctx, nodesTable)
 	if err != nil {
 		return err
 	}
@@ -53,25 +55,25 @@
 	if len(staleNodes) == 0 {
 		return nil
 	}
-	left, _, err := n.store.Rows(ctx, leftTable)
+	left, leftAt, err := n.store.Rows(ctx, leftTable)
 	if err != nil {
 		return err
 	}
 	for _, r := range left {
 		if staleNodes[r.Key] != 0 {
-			n.remove(ctx, leftTable, r.Key, r.Version)
+			n.remove(ctx, leftTable, r.Key, cursor.Cursor{Era: leftAt.Era, Version: r.Version})
 		}
 	}
 	for key, version := range staleNodes {
-		n.remove(ctx, nodesTable, key, version)
+		n.remove(ctx, nodesTable, key, cursor.Cursor{Era: at.Era, Version: version})
 	}
 	return nil
 }
 
-// remove removes a row that wasn't written since it was read. If it fails, the
-// next node that finds the row tries again.
-func (n *Sidecar) remove(ctx context.Context, table, key string, version int64) {
-	if err := n.store.Remove(ctx, table, key, version); err != nil {
+// remove removes a row that wasn't written since it was read at this position. If
+// it fails, the next node that finds the row tries again.
+func (n *Sidecar) remove(ctx context.Context, table, key string, at cursor.Cursor) {
+	if err := n.store.Remove(ctx, table, key, at); err != nil {
 		n.log.Info("node: removing a stale row failed", "Table", table, "Key", key, "Error", err.Error())
 		return
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/clock"
+	"bergamotloom.example/cursor"
 	"bergamotloom.example/feed"
 	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
@@ -62,41 +63,44 @@
 
 // Run follows the table until the context ends.
 func (w *Watch) Run(ctx context.Context) {
-	var version int64
-	hasVersion := false
+	var at cursor.Cursor
+	hasRead := false
 	retryDelay := minRetryDelay
 	calledMillis := int64(0)
 	for ctx.Err() == nil {
-		if hasVersion && !w.isWatcher() && w.clock.Since(calledMillis) < pollMillis {
+		if hasRead && !w.isWatcher() && w.clock.Since(calledMillis) < pollMillis {
 			w.sleep(ctx, watcherCheckDelay)
 			continue
 		}
 		calledMillis = w.clock.Now()
-		next, err := w.poll(ctx, version, hasVersion)
+		next, err := w.poll(ctx, at, hasRead)
 		switch {
 		case errors.Is(err, feed.ErrHistoryDropped):
-			w.log.Info("watch: the store dropped the history, reading all rows", "Table", w.table, "After", version)
-			hasVersion = false
+			w.log.Info("watch: the store dropped the history, reading all rows", "Table", w.table, "After", at.Version, "Era", at.Era)
+			hasRead = false
+		case errors.Is(err, feed.ErrRestored):
+			w.log.Warn("watch: the store was restored from a copy, reading all rows", "Table", w.table, "After", at.Version, "EraBefore", at.Era, "Era", w.store.Era())
+			hasRead = false
 		case err != nil && ctx.Err() == nil:
 			w.logLost(err)
 			w.sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err == nil:
 			w.logRegained()
-			version, hasVersion, retryDelay = next, true, minRetryDelay
+			at, hasRead, retryDelay = next, true, minRetryDelay
 		}
 	}
 }
 
-// poll reads all rows, or, with hasVersion, waits for changes after the version. It
-// returns the version for the next call.
-func (w *Watch) poll(ctx context.Context, version int64, hasVersion bool) (int64, error) {
+// poll reads all rows, or, if they were read before, waits for changes after the
+// position. It returns the position for the next call.
+func (w *Watch) poll(ctx context.Context, after cursor.Cursor, hasRead bool) (cursor.Cursor, error) {
 	w.calls.Add(1)
 	var rows []record.Record
-	var next int64
+	var next cursor.Cursor
 	var err error
-	if hasVersion {
-		rows, next, err = w.store.Changes(ctx, w.table, version, w.waitTimeout())
+	if hasRead {
+		rows, next, err = w.store.Changes(ctx, w.table, after, w.waitTimeout())
 	} else {
 		rows, next, err = w.store.Rows(ctx, w.table)
 	}
