What nodes wrote in the store is written anew after a restore

Callers saw nothing on our system; in the tests a node that starts after a restore reaches no other one, and a target that had left gets requests after a restart of its node. The rows of nodes, of targets that left and of crashes were written once; after a restore from a copy they are gone, and nobody noticed. Evidence: the failing tests; the store has no row of the node, and the log no line. Change: when the store's era rises, each node writes its rows anew, spread over time by the number of its peers, and crashes that the table lacks; cards carry the era, so that nodes that don't watch the store ask it. A node that restarts at the same time has neither memory nor row: peers answer its first card with the last card of its earlier process, which names the target that left. The gate of a restarted node opens after 300 ms at the earliest, once the store has told which target left, or after a second; a heartbeat that comes sooner is kept until then. TestRestartedNodeForgetsWhatItSaid is new.

--- a/card/card.go
+++ b/card/card.go
@@ -82,6 +82,8 @@
 	// Refused holds the requests that the node refuses because they crashed
 	// targets, by fingerprint, with how many milliseconds longer.
 	Refused map[string]int64 `cbor:"28,keyasint,omitempty"`
+	// StoreEra is how often the store was restored from a copy, as the node knows.
+	StoreEra int64 `cbor:"29,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
@@ -145,7 +147,7 @@
 func (c Card) isPossible() bool {
 	rates := slices.Concat([]float32{c.RunMillis, c.Failing, c.Cutoff, c.MinFractionScale, c.RateLimit},
 		slices.Collect(maps.Values(c.RootFractions)), slices.Collect(maps.Values(c.DemandRates)))
-	counts := slices.Concat([]int64{int64(c.Limit), int64(c.Running), int64(c.Waiting), c.RateLimitAgeMillis, c.CountedMillis},
+	counts := slices.Concat([]int64{int64(c.Limit), int64(c.Running), int64(c.Waiting), c.RateLimitAgeMillis, c.CountedMillis, c.StoreEra},
 		slices.Collect(maps.Values(c.Admitted)))
 	return !slices.ContainsFunc(rates, func(r float32) bool { return !(r >= 0) || r > math.MaxFloat32 }) &&
 		!slices.ContainsFunc(counts, func(n int64) bool { return n < 0 })
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -253,6 +253,36 @@
 	return nil
 }
 
+// MissingRows returns rows, by key, of the crashes that this node knows and that none
+// of the given rows reports.
+func (s *Suspects) MissingRows(values [][]byte) map[string][]byte {
+	present := make(map[string]bool)
+	for _, v := range values {
+		var r row
+		if json.Unmarshal(v, &r) == nil {
+			present[r.Crash] = true
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.removeExpired(s.clock.Now())
+	missing := make(map[string]row)
+	for f, times := range s.crashes {
+		for id, l := range times {
+			if present[id] {
+				continue
+			}
+			r := missing[id]
+			missing[id] = row{id, append(r.Fingerprints, f), l.at}
+		}
+	}
+	encoded := make(map[string][]byte, len(missing))
+	for id, r := range missing {
+		encoded[rowKey(id, s.self)] = encodeRow(r)
+	}
+	return encoded
+}
+
 // IsExpired reports whether a row isn't needed any more.
 func (s *Suspects) IsExpired(value []byte) bool {
 	var r row
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -81,15 +81,23 @@
 
 // MarkLeft records that the incarnations of a target that started at startMillis
 // (milliseconds since 1970) or earlier have left. Their heartbeats are ignored
-// from now on. A node reads this from the store at its own start.
-func (g *Gate) MarkLeft(target string, startMillis int64) {
+// from now on. A node reads this from the store at its own start, or learns it from
+// its peers. MarkLeft reports whether that wasn't known before.
+func (g *Gate) MarkLeft(target string, startMillis int64) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if known, ok := g.leftStartMillis[target]; ok && known >= startMillis {
+		return false
+	}
+	if g.lastLeftTarget == "" {
+		g.lastLeftTarget = target
+	}
 	g.leftStartMillis[target] = max(g.leftStartMillis[target], startMillis)
 	if g.target.Target == target && g.target.BornMillis <= startMillis && !g.target.Leaving {
 		g.target = g.target.WithLeaving()
 		g.leave("left before this node started")
 	}
+	return true
 }
 
 // leave closes the gate because the target is leaving. The mutex must be held.
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -31,7 +31,7 @@
 	f := &largeFleet{byPort: make(map[netip.AddrPort]*Mesh)}
 	f.clock, f.advance = clock.NewManual(0)
 	for i := range largeNodes {
-		m, err := New(card.Card{Peers: "127.0.0.1:0"}, f.clock, uint64(i), slog.New(slog.DiscardHandler), nil, nil, nil, func(string) {})
+		m, err := New(card.Card{Peers: "127.0.0.1:0"}, f.clock, uint64(i), slog.New(slog.DiscardHandler), nil, nil, nil, nil, func(string) {})
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = m.socket.Close() })
 		at, err := netip.ParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+i))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -74,10 +74,12 @@
 	// the node has work.
 	own  func() card.Card
 	busy func() bool
-	// onCard is called with each newer card of a peer. onForget is called with
+	// onCard is called with each newer card of a peer, onOwn with cards of earlier
+	// incarnations of this node, which peers have kept. onForget is called with
 	// each peer that is forgotten; the mutex is held, so it must not call the
 	// mesh.
 	onCard   func(card.Card)
+	onOwn    func(card.Card)
 	onForget func(peer string)
 
 	mutex    sync.Mutex
@@ -99,7 +101,7 @@
 
 // New returns a mesh that listens on the address of self, and sends once Run is
 // called. It fails if the address is invalid or can't be listened on.
-func New(self card.Card, c clock.Clock, seed uint64, log *slog.Logger, own func() card.Card, busy func() bool, onCard func(card.Card), onForget func(string)) (*Mesh, error) {
+func New(self card.Card, c clock.Clock, seed uint64, log *slog.Logger, own func() card.Card, busy func() bool, onCard, onOwn func(card.Card), onForget func(string)) (*Mesh, error) {
 	address, err := net.ResolveUDPAddr("udp", self.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "mesh")
@@ -116,6 +118,7 @@
 		own:      own,
 		busy:     busy,
 		onCard:   onCard,
+		onOwn:    onOwn,
 		onForget: onForget,
 		self:     self,
 		peers:    make(map[string]*peer),
@@ -278,7 +281,7 @@
 func (m *Mesh) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := m.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := m.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -292,15 +295,48 @@
 			continue
 		}
 		for _, c := range cards {
-			if m.accept(c) {
-				m.onCard(c)
-			} else {
-				m.replyWithNewer(c)
-			}
+			m.handle(c, from)
 		}
 	}
 }
 
+// handle takes in a card that came from this address.
+func (m *Mesh) handle(c card.Card, from netip.AddrPort) {
+	if m.isOfOtherIncarnation(c) {
+		m.onOwn(c)
+	}
+	earlier, restarted := m.earlierCard(c, from)
+	if !m.accept(c) {
+		m.replyWithNewer(c)
+		return
+	}
+	m.onCard(c)
+	if restarted {
+		m.sendCard(earlier, from)
+	}
+}
+
+// isOfOtherIncarnation reports whether the card is of another incarnation of this
+// node, which is an earlier one, also if its number is higher.
+func (m *Mesh) isOfOtherIncarnation(c card.Card) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return c.Peers == m.self.Peers && c.Incarnation != m.self.Incarnation
+}
+
+// earlierCard returns the last card of an earlier incarnation of a node, if the card
+// came from the node itself and is the first one of its incarnation. The node may
+// have forgotten what that card tells.
+func (m *Mesh) earlierCard(c card.Card, from netip.AddrPort) (card.Card, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p, ok := m.peers[c.Peers]
+	if !ok || !p.hasCard || p.address != from || c.Incarnation <= p.card.Incarnation {
+		return card.Card{}, false
+	}
+	return p.card, true
+}
+
 // replyWithNewer sends a node its own card of a higher incarnation, if there is
 // one. A node that restarts after its wall clock was set back has a lower
 // incarnation than before, and its peers would ignore its cards.
@@ -313,12 +349,17 @@
 	}
 	newer, to := p.card, p.address
 	m.mutex.Unlock()
-	encoded, err := card.Encode([]card.Card{newer})
+	// If the reply is lost, the node's next card gets another one.
+	m.sendCard(newer, to)
+}
+
+// sendCard sends one card. A failed send is like a lost datagram.
+func (m *Mesh) sendCard(c card.Card, to netip.AddrPort) {
+	encoded, err := card.Encode([]card.Card{c})
 	if err != nil {
 		m.log.Error("mesh: encoding a card failed", "Error", err.Error())
 		return
 	}
-	// If the reply is lost, the node's next card gets another one.
 	_, _ = m.socket.WriteToUDPAddrPort(encoded, to)
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -22,21 +22,36 @@
 	stop  context.CancelFunc
 	mutex sync.Mutex
 	cards map[string]card.Card
+	// own is the last card of another incarnation of this member, left the last
+	// target that left beside it.
+	own  card.Card
+	left string
 }
 
 func startMember(t *testing.T, address string, incarnation int64) *member {
 	t.Helper()
-	m := &member{cards: make(map[string]card.Card)}
+	return startMemberWithLeft(t, address, incarnation, "")
+}
+
+// startMemberWithLeft starts a member whose last target that left is this one.
+func startMemberWithLeft(t *testing.T, address string, incarnation int64, left string) *member {
+	t.Helper()
+	m := &member{cards: make(map[string]card.Card), left: left}
 	self := card.Card{Peers: address, Incarnation: incarnation, Centre: "a", Hops: address}
 	var err error
 	m.mesh, err = mesh.New(self, clock.New(), 1, slog.New(slog.DiscardHandler),
-		func() card.Card { return card.Card{Service: "stock"} },
+		func() card.Card { return card.Card{Service: "stock", LeftTarget: m.left} },
 		func() bool { return true },
 		func(c card.Card) {
 			m.mutex.Lock()
 			defer m.mutex.Unlock()
 			m.cards[c.Peers] = c
 		},
+		func(c card.Card) {
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			m.own = c
+		},
 		func(string) {})
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
@@ -45,6 +60,12 @@
 	return m
 }
 
+func (m *member) ownCard() card.Card {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.own
+}
+
 func (m *member) card(peer string) card.Card {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -119,3 +140,20 @@
 	other.stop()
 	eventually(t, "the stopped peer doesn't count as silent", func() bool { known, live := watcher.mesh.PeerCounts(); return known == 1 && live == 0 })
 }
+
+// A node that restarts learns from its peers what it said before, also if its wall
+// clock was set back.
+func TestRestartedNodeForgetsWhatItSaid(t *testing.T) {
+	for _, incarnation := range []int64{2000, 500} {
+		all := freeAddresses(t, 2)
+		peer := startMember(t, all[0], 1)
+		first := startMemberWithLeft(t, all[1], 1000, "target")
+		first.mesh.Add(all[0])
+		eventually(t, "no card of the first incarnation was received", func() bool { return peer.card(all[1]).LeftTarget == "target" })
+		first.stop()
+		time.Sleep(200 * time.Millisecond)
+		second := startMember(t, all[1], incarnation)
+		defer second.stop()
+		eventually(t, "no card of the first incarnation came back", func() bool { return second.ownCard().LeftTarget == "target" })
+	}
+}
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -56,6 +56,7 @@
 	// Before a restart, the target may have announced that it leaves.
 	if !n.params.FirstStart {
 		n.retry(ctx, "reading the target that left", func() error { return n.readLeft(ctx) })
+		n.hasReadLeft.Store(true)
 	}
 	n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
 	pause.For(ctx, settleDelay)
@@ -95,16 +96,26 @@
 	}
 }
 
+// readNodes adds the nodes in the store to the mesh. It writes this node's own row
+// again if it's gone.
 func (n *Sidecar) readNodes(ctx context.Context) error {
 	rows, _, err := n.store.Rows(ctx, nodesTable)
+	if err != nil {
+		return err
+	}
+	hasOwn := false
 	for _, r := range rows {
 		n.mesh.Add(r.Key)
+		hasOwn = hasOwn || r.Key == n.params.Peers
 	}
-	return err
+	if hasOwn {
+		return nil
+	}
+	return n.writeNode(ctx)
 }
 
 func (n *Sidecar) readLeft(ctx context.Context) error {
-	rows, _, err := n.store.Rows(ctx, leftTable)
+	rows, at, err := n.store.Rows(ctx, leftTable)
 	for _, r := range rows {
 		if r.Key != n.params.Peers {
 			continue
@@ -115,6 +126,7 @@
 			continue
 		}
 		n.gate.MarkLeft(row.Target, row.BornMillis)
+		n.leftEra.Store(at.Era)
 	}
 	return err
 }
@@ -141,11 +153,17 @@
 // writeLeft writes the row of the target that left, unless another one has left
 // since.
 func (n *Sidecar) writeLeft(ctx context.Context, target string) error {
-	if n.gate.LastLeft() != target {
+	if n.gate.LastLeft() != target || target == "" {
 		return nil
 	}
-	_, err := n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
-	return err
+	era, err := n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
+	if err != nil {
+		return err
+	}
+	if before := n.leftEra.Swap(era); before >= 0 && before != era {
+		n.countRewritten(leftTable, n.params.Peers)
+	}
+	return nil
 }
 
 // retry repeats work with an exponential delay until it succeeds.
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -76,8 +76,11 @@
 		"config.version": n.follow.Version(),
 		"store.calls":    n.follow.Calls() + n.crashes.Calls(),
 		"store.era":      n.store.Era(),
-		"gate.running":   int64(running),
-		"gate.waiting":   int64(waiting),
+		// -1 until the node's row is written for the first time.
+		"store.written.era": n.writtenEra.Load(),
+		"store.rewritten":   n.rewritten.Load(),
+		"gate.running":      int64(running),
+		"gate.waiting":      int64(waiting),
 		// In thousandths of a request per second; 0 without a limit.
 		"gate.limit.rate.milli": int64(rateLimit * milli),
 		"gate.limit.age.millis": int64(rateLimitAgeMillis),
--- a/sidecr/rows.go
+++ b/sidecr/rows.go
@@ -41,8 +41,15 @@
 }
 
 func (n *Sidecar) writeNode(ctx context.Context) error {
-	_, err := n.store.Put(ctx, nodesTable, n.params.Peers, encodeRow(nodeRow{n.params.Name, n.clock.Now()}))
-	return err
+	era, err := n.store.Put(ctx, nodesTable, n.params.Peers, encodeRow(nodeRow{n.params.Name, n.clock.Now()}))
+	if err != nil {
+		return err
+	}
+	n.writtenEra.CompareAndSwap(-1, era)
+	if before := n.nodeEra.Swap(era); before >= 0 && before != era {
+		n.countRewritten(nodesTable, n.params.Peers)
+	}
+	return nil
 }
 
 // removeStale removes the rows of dead nodes and of their targets.
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -95,7 +95,20 @@
 	stopping    atomic.Bool
 	// recordingLeave is true while a background task records that the last target
 	// left.
-	recordingLeave    atomic.Bool
+	recordingLeave atomic.Bool
+	// hasReadLeft is true once the target that left was read from the store.
+	hasReadLeft atomic.Bool
+	// kept is the last heartbeat while the gate may not open yet.
+	keptMutex sync.Mutex
+	kept      *notice.Notice
+	// writtenEra is the era of the store in which all rows of the node are written.
+	// nodeEra and leftEra are those in which its own row and that of its last target
+	// that left were last written. They're -1 before that.
+	writtenEra atomic.Int64
+	nodeEra    atomic.Int64
+	leftEra    atomic.Int64
+	// rewritten counts the rows that were written anew after a restore.
+	rewritten         atomic.Int64
 	active            atomic.Int64
 	lastRequestMillis atomic.Int64
 	group             sync.WaitGroup
@@ -108,6 +121,9 @@
 	seed := rand.Uint64()
 	requests, endRequests := context.WithCancelCause(context.Background())
 	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
+	for _, era := range []*atomic.Int64{&n.writtenEra, &n.nodeEra, &n.leftEra} {
+		era.Store(-1)
+	}
 	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.isWatcher)
 	n.crashes = watch.New(store, crashesTable, crashesWaitMillis, c, log, n.isWatcher, n.learnCrashes)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
@@ -123,7 +139,7 @@
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
 		n.gate, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
-	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.forget)
+	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.learnOwn, n.forget)
 	return n, err
 }
 
@@ -136,7 +152,7 @@
 // describe returns the node's status card, and updates the node's own entry in
 // instance selection and outlier ejection.
 func (n *Sidecar) describe() card.Card {
-	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version()}
+	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version(), StoreEra: n.store.Era()}
 	c = n.suspects.Describe(n.facts.Describe(n.ration.Describe(n.gate.Describe(c))))
 	own := c
 	own.Peers, own.Centre, own.Hops = n.params.Peers, n.params.Centre, n.params.Hops
@@ -168,19 +184,6 @@
 	n.targets.forget(peer)
 }
 
-// OnHeartbeat processes a heartbeat of the target.
-func (n *Sidecar) OnHeartbeat(ctx context.Context, b notice.Notice) {
-	before, hadTarget := n.gate.Target()
-	n.gate.HandleHeartbeat(b)
-	after, hasTarget := n.gate.Target()
-	if b.Leaving {
-		n.recordLeave(ctx, b.Target)
-	}
-	if hadTarget != hasTarget || before != after {
-		n.mesh.Broadcast()
-	}
-}
-
 // OnTargetLeaving processes the removal of a target's heartbeat, with which it
 // announces that it will end. A last heartbeat may announce the same.
 func (n *Sidecar) OnTargetLeaving(ctx context.Context, target string) {
@@ -223,6 +226,7 @@
 	n.runTask(tasks, n.tick)
 	n.runTask(tasks, n.checkAccepting)
 	n.runTask(tasks, n.runMembership)
+	n.runTask(tasks, n.watchEra)
 	n.runTask(tasks, n.catchUp)
 	n.log.Info("node: started", "Node", n.params.Name, "Service", n.params.Service, "Centre", n.params.Centre, "Peers", n.params.Peers, "FirstStart", n.params.FirstStart)
 	<-ctx.Done()
@@ -255,6 +259,7 @@
 		case <-t.C:
 		}
 		now := n.clock.Fine()
+		n.handleKeptHeartbeat(ctx)
 		n.gate.Tick()
 		n.ration.Tick(max(now-last, 1))
 		last = now
