--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -5,6 +5,10 @@
 	"bergamotloom.example/notice"
 )
 
+// maxClockSkewMillis is how much the wall clocks of a target and of its node may
+// differ.
+const maxClockSkewMillis = 3_600_000
+
 // HandleHeartbeat updates the state of the target from its heartbeat. A heartbeat
 // that is older than the last one, or that comes from an earlier incarnation,
 // is ignored.
@@ -15,6 +19,11 @@
 		g.log.Warn("gate: ignored a heartbeat of another service", "Target", n.Target, "Service", n.Service)
 		return
 	}
+	if now := g.clock.Now(); n.BornMillis > now+maxClockSkewMillis {
+		// It would hide all later heartbeats of the target.
+		g.log.Warn("gate: ignored a heartbeat with a start time in the future", "Target", n.Target, "BornMillis", n.BornMillis, "NowMillis", now)
+		return
+	}
 	if g.hasLeft(n) {
 		return
 	}
