A refusal on a kept connection must name its request

Other operators' clients were told 'not run, try again' for requests that a server had run, as a faulty server wrote an earlier refusal once more. Cause: a response with neither a request ID nor a signature was taken for the answer to the present request. On a kept connection it may be a copy of an earlier refusal, and the target runs the request; an unsafe one could then be sent to a second target. A copy with the earlier ID was skipped already. Change: on a connection that has carried a request before, a refusal without the request's ID makes the request lost, as one that may have run, and closes the connection. Result: TestCopyOfARefusalSaysThatAnotherRequestWasNotRun failed before for copies without or with an empty ID that come late, and passes.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -71,6 +71,8 @@
 	lastUsedMillis int64
 	// idleMillis is how long the connection may be idle and still be reused.
 	idleMillis int64
+	// isUsed is true once a request was sent.
+	isUsed bool
 }
 
 // New returns a pool for the address. Connections that were idle for longer
@@ -104,13 +106,13 @@
 // the clock. writeRest sends the rest of a long body, unless it's nil.
 //
 // Responses for which matches is false are skipped, as they belong to earlier
-// requests.
+// requests. IsFirst says that there was no earlier one on the connection.
 //
 // If there's no error, done must be called after the response's body was read;
 // it returns the connection to the pool if complete is true, that is, if the
 // body was read to its end. With an error, sent reports whether the request may
 // have reached the server.
-func (p *Conns) Do(ctx context.Context, method string, request []byte, writeRest func(io.Writer) error, matches func(*http.Response) bool, deadlineMillis float64) (response *http.Response, done func(complete bool), sent bool, err error) {
+func (p *Conns) Do(ctx context.Context, method string, request []byte, writeRest func(io.Writer) error, matches func(response *http.Response, isFirst bool) bool, deadlineMillis float64) (response *http.Response, done func(complete bool), sent bool, err error) {
 	remaining := time.Duration((deadlineMillis - p.clock.Fine()) * float64(time.Millisecond))
 	if remaining <= 0 {
 		return nil, nil, false, context.DeadlineExceeded
@@ -120,6 +122,8 @@
 		return nil, nil, false, err
 	}
 	_ = c.SetDeadline(time.Now().Add(remaining))
+	isFirst := !c.isUsed
+	c.isUsed = true
 	// A deadline in the past ends reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if n, err := c.Write(request); err != nil {
@@ -132,7 +136,7 @@
 		restSent = make(chan error, 1)
 		go func() { restSent <- writeRest(c) }()
 	}
-	response, err = c.readResponse(method, matches)
+	response, err = c.readResponse(method, func(r *http.Response) bool { return matches(r, isFirst) })
 	if err != nil {
 		stop()
 		_ = c.Close()
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -62,7 +62,7 @@
 func send(t *testing.T, p *conns.Conns, c clock.Clock, id string) (string, bool, error) {
 	t.Helper()
 	r, done, sent, err := p.Do(t.Context(), http.MethodGet, header(id), nil,
-		func(r *http.Response) bool { return r.Header.Get("Id") == id }, c.Fine()+1000)
+		func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id }, c.Fine()+1000)
 	if err != nil {
 		return "", sent, err
 	}
@@ -186,7 +186,7 @@
 		ended <- err
 	}()
 	c := clock.New()
-	matches := func(*http.Response) bool { return true }
+	matches := func(*http.Response, bool) bool { return true }
 	_, _, sent, err := conns.New(l.Addr().String(), c, 1000).Do(ctx, http.MethodGet, header("a"), nil, matches, c.Fine()+5000) //nolint:bodyclose // There's no response.
 	assert.Assert(t, err != nil && sent)
 	assert.Equal(t, <-ended, io.EOF)
@@ -203,7 +203,7 @@
 		<-release
 		return nil
 	}
-	matches := func(*http.Response) bool { return true }
+	matches := func(*http.Response, bool) bool { return true }
 	r, done, _, err := p.Do(t.Context(), http.MethodPost, request, blocked, matches, c.Fine()+1000)
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, r.Body)
--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -81,7 +81,7 @@
 			p := conns.New(address, virtual, 10_000)
 			began := time.Now()
 			_, _, wasSent, err := p.Do(t.Context(), http.MethodGet, header("a"), nil, //nolint:bodyclose // There's no response.
-				func(r *http.Response) bool { return r.Header.Get("Id") == "a" }, virtual.Fine()+5000)
+				func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "a" }, virtual.Fine()+5000)
 			assert.Assert(t, err != nil)
 			assert.Assert(t, wasSent)
 			assert.Check(t, time.Since(began) < 2*time.Second, "it took %v", time.Since(began))
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -114,7 +114,7 @@
 	deadline := p.clock.Fine() + t.LeftMillis
 	h.Set(trip.Header, t.Encode())
 	request := append(heads.AppendHead(nil, r, h, length), body...)
-	response, done, sent, err := p.pool(address).Do(ctx, r.Method, request, writeRest, func(*http.Response) bool { return true }, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
+	response, done, sent, err := p.pool(address).Do(ctx, r.Method, request, writeRest, func(*http.Response, bool) bool { return true }, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
 	switch {
 	case err == nil:
 	case !sent && p.clock.Fine() >= deadline:
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -172,7 +172,11 @@
 	id := h.Get(g.dialect.RequestID)
 	g.runningRequests.Begin(id, t)
 	defer g.runningRequests.End(id)
-	accept := func(response *http.Response) bool { return g.isResponseTo(response, id) }
+	isFirst := false
+	accept := func(response *http.Response, first bool) bool {
+		isFirst = first
+		return g.isResponseTo(response, id)
+	}
 	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline) //nolint:bodyclose // readResponse closes it.
 	if err != nil {
 		o := g.noResponse(ctx, target.Target, deadline, sent, err)
@@ -183,7 +187,8 @@
 		return o
 	}
 	g.followAdvice(response, target, startedAt)
-	o := g.readResponse(response, func(complete bool) {
+	canTrust := isFirst || id != "" && response.Header.Get(g.dialect.RequestID) == id
+	o := g.readResponse(response, canTrust, func(complete bool) {
 		switch {
 		case !complete:
 			g.crashes.requestEnded(t.Fingerprint, startedAt, ctx.Err() == nil)
@@ -255,8 +260,13 @@
 	return output.Lost(reason.InstanceLost, err.Error())
 }
 
-// readResponse reads the response, or the beginning of a long one.
-func (g *Gate) readResponse(response *http.Response, done func(complete bool)) output.Output {
+// readResponse reads the response, or the beginning of a long one. A refusal that
+// can't be trusted may be the copy of an earlier one.
+func (g *Gate) readResponse(response *http.Response, canTrust bool, done func(complete bool)) output.Output {
+	if !canTrust && response.Header.Get(g.dialect.Signature) == "" {
+		done(false)
+		return output.Lost(reason.InstanceLost, "the answer may be a copy of an earlier one")
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(g.dialect.NotExecuted) != "" {
 		read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		// What follows in a longer body would be read as the next response.
