--- a/accept/accept.go
+++ b/accept/accept.go
@@ -45,9 +45,10 @@
 
 	mutex sync.Mutex
 	open  map[net.Conn]*openConn
-	// idle has the open connections without a request, those that became idle first
-	// at the front.
-	idle *list.List
+	// idle and idleExcess have the open connections without a request, those that
+	// became idle first at the front; idleExcess those that are excess ones.
+	idle       *list.List
+	idleExcess *list.List
 	// excess is how many open connections are beyond maxOpen.
 	excess   int
 	accepted int64
@@ -76,7 +77,7 @@
 // Its methods Accept, ConnState and ConnContext must be given to the server of the
 // port, whose name is used in logs.
 func New(l net.Listener, port string, maxOpen int, c clock.Clock, log *slog.Logger) *Accept {
-	return &Accept{Listener: l, port: port, maxOpen: maxOpen, clock: c, log: log, open: make(map[net.Conn]*openConn), idle: list.New()}
+	return &Accept{Listener: l, port: port, maxOpen: maxOpen, clock: c, log: log, open: make(map[net.Conn]*openConn), idle: list.New(), idleExcess: list.New()}
 }
 
 // Accept waits for the next connection. It fails only if the listener is closed.
@@ -107,30 +108,34 @@
 
 // admit records a new connection, and reports whether it may stay open. If there
 // are too many, the one that has been idle for longest is closed. If none is idle,
-// the new one becomes an excess connection, whose request is to be refused, and if
-// there are too many of these as well, it can't stay open.
+// the new one becomes an excess connection, whose request is to be refused. If there
+// are too many of these as well, one that hasn't sent a request is closed, or else
+// the new one can't stay open.
 func (a *Accept) admit(c net.Conn) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.accepted++
-	if a.failingSince != 0 {
-		a.log.Info("node: connections are accepted again", "Port", a.port, "SinceMillis", a.clock.Since(a.failingSince), "Open", len(a.open))
-		a.failingSince, a.errorLoggedAt = 0, 0
-	}
 	if len(a.open)-a.excess >= a.maxOpen {
-		a.closeOldestIdle()
+		a.closeFirst(a.idle)
 	}
 	state := &openConn{isExcess: len(a.open)-a.excess >= a.maxOpen}
 	if state.isExcess {
-		if a.excess >= max(a.maxOpen/excessDivisor, 1) {
+		maxExcess := max(a.maxOpen/excessDivisor, 1)
+		if a.excess >= maxExcess {
+			a.closeFirst(a.idleExcess)
+		}
+		if a.excess >= maxExcess {
 			a.closedNew++
 			return false
 		}
 		a.excess++
-	} else {
-		state.idleElement = a.idle.PushBack(c)
 	}
+	state.idleElement = a.idleOf(state).PushBack(c)
 	a.open[c] = state
+	a.accepted++
+	if a.failingSince != 0 {
+		a.log.Info("node: connections are accepted again", "Port", a.port, "SinceMillis", a.clock.Since(a.failingSince), "Open", len(a.open))
+		a.failingSince, a.errorLoggedAt = 0, 0
+	}
 	return true
 }
 
@@ -140,14 +145,22 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for range count {
-		a.closeOldestIdle()
+		a.closeFirst(a.idle)
+	}
+}
+
+// idleOf returns the list that has the connection while it's idle.
+func (a *Accept) idleOf(state *openConn) *list.List {
+	if state.isExcess {
+		return a.idleExcess
 	}
+	return a.idle
 }
 
-// closeOldestIdle closes the connection that has been idle for longest, if there is
-// one. The mutex must be held.
-func (a *Accept) closeOldestIdle() {
-	first := a.idle.Front()
+// closeFirst closes the first connection of a list of idle ones, if there is one.
+// The mutex must be held.
+func (a *Accept) closeFirst(idle *list.List) {
+	first := idle.Front()
 	if first == nil {
 		return
 	}
@@ -171,7 +184,7 @@
 		a.excess--
 	}
 	if state.idleElement != nil {
-		a.idle.Remove(state.idleElement)
+		a.idleOf(state).Remove(state.idleElement)
 	}
 }
 
@@ -219,15 +232,15 @@
 	case s == http.StateClosed || s == http.StateHijacked:
 		a.forget(c)
 	case s == http.StateActive && state.idleElement != nil:
-		a.idle.Remove(state.idleElement)
+		a.idleOf(state).Remove(state.idleElement)
 		state.idleElement = nil
-	case s == http.StateIdle && state.idleElement == nil && !state.isExcess:
-		state.idleElement = a.idle.PushBack(c)
+	case s == http.StateIdle && state.idleElement == nil:
+		state.idleElement = a.idleOf(state).PushBack(c)
 	}
 }
 
 // Counts returns how many connections are open, how many were accepted since the
-// start, and how many errors came instead.
+// start without those that were closed at once, and how many errors came instead.
 func (a *Accept) Counts() (open int, accepted, failed int64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -198,3 +198,43 @@
 	}
 	assert.Equal(t, get(dial(t, a), time.Second), http.StatusOK)
 }
+
+// Connections that are closed at once aren't accepted ones, and such without a request
+// don't keep others out.
+func TestConnectionsBeyondAllLimitsAreNotCountedAsAccepted(t *testing.T) {
+	const maxOpen, excess = 16, 2
+	release := make(chan struct{})
+	a := serve(t, maxOpen, release)
+	served := make(chan int, maxOpen+excess)
+	for range maxOpen {
+		c := dial(t, a)
+		go func() { served <- get(c, 5*time.Second) }()
+	}
+	waitOpen := func(want int) {
+		t.Helper()
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if open, _, _ := a.Counts(); open == want {
+				time.Sleep(20 * time.Millisecond)
+				return
+			}
+		}
+		t.Fatalf("%d connections aren't open", want)
+	}
+	waitOpen(maxOpen)
+	// These send nothing.
+	for range excess {
+		dial(t, a)
+	}
+	waitOpen(maxOpen + excess)
+	// Each new one takes the place of a silent one.
+	for range 3 * excess {
+		assert.Equal(t, get(dial(t, a), time.Second), http.StatusServiceUnavailable)
+	}
+	_, accepted, _ := a.Counts()
+	_, closedNew := a.Closed()
+	assert.Equal(t, accepted+closedNew, int64(maxOpen+4*excess))
+	close(release)
+	for range maxOpen {
+		assert.Equal(t, <-served, http.StatusOK)
+	}
+}
