--- a/crash/crash.go
+++ b/crash/crash.go
@@ -6,9 +6,9 @@
 // that had sent requests to it report the crash once the node is confirmed
 // dead. A request that was lost in blockingCrashes crashes is refused for
 // BlockMillis. Requests that only happened to run during one crash rarely run
-// during the next. A request that gets a response from any target is harmless:
-// the first node that receives the response reports that, and all nodes drop
-// the crashes recorded for the request.
+// during the next. A request is harmless once a run of it has ended well: the node
+// that has read the whole response reports that, and all nodes drop the crashes
+// recorded for the request.
 //
 // Reports are facts that expire. They're also kept as rows in the store, for nodes
 // that start later, and each node tells on its card which requests it refuses.
