--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/mesh"
+	"bergamotloom.example/ports"
 )
 
 // member is a node of the mesh under test, with the cards that it received.
@@ -72,15 +72,19 @@
 	return m.cards[peer]
 }
 
-// freeAddresses returns UDP addresses that are free, as far as a test can know.
+// testPorts returns the ports of this test process.
+var testPorts = sync.OnceValues(ports.New)
+
+// freeAddresses returns addresses with ports that no other test process uses.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	p, err := testPorts()
+	assert.NilError(t, err)
 	var all []string
 	for range n {
-		c, err := new(net.ListenConfig).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
+		address, err := p.Next()
 		assert.NilError(t, err)
-		all = append(all, c.LocalAddr().String())
-		defer func() { _ = c.Close() }()
+		all = append(all, address)
 	}
 	return all
 }
