Requests late in the grace of a planned stop end before the node does

Cause: a stopping node moved the deadline of its target's calls to the very end of its grace, and cancelled all requests at that moment, so that calls which had run lost the target's response. A request that arrived between the last look at the requests in flight and the closing of the ports was passed on and cut. And gates stopped waiting at the deadline, just before the target's own response that its time is over.

Now the last deadline that a stopping node accepts is 250 ms before its exit. A request with a later deadline is accepted with that one if it can still meet its objective, and is otherwise refused as not run; before, all requests whose timeout reached beyond the exit were refused. Once no request is in flight, new ones are refused before the ports close. Gates wait 50 ms beyond the deadline for the target's response, entries 90 ms for the gate's.

--- a/hops/hops.go
+++ b/hops/hops.go
@@ -31,9 +31,10 @@
 	// kept, however many peers there are.
 	minIdlePerPeer = 4
 	// responseGraceMillis is how long after the deadline to wait for the gate's
-	// response. The gate responds at the deadline at the latest, and its
-	// response, which needs some time to arrive, reports whether the request ran.
-	responseGraceMillis = 30
+	// response. The gate itself waits for its target's until shortly after the
+	// deadline, and its response, which needs some time to arrive, reports whether
+	// the request ran.
+	responseGraceMillis = 90
 	// maxDetailBytes bounds how much of the detail of a refusal is read.
 	maxDetailBytes = 4 << 10
 )
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -48,6 +48,9 @@
 	// probeTimeout bounds the wait of a probe: a target on the same instance
 	// accepts or refuses a connection within milliseconds.
 	probeTimeout = 200 * time.Millisecond
+	// responseGraceMillis is how long after the deadline to wait for the target's
+	// response. A target stops its work at the deadline and says so.
+	responseGraceMillis = 50
 	// sampleSize is how many values a histogram keeps for its quantiles.
 	sampleSize = 1024
 )
@@ -177,7 +180,7 @@
 		isFirst = first
 		return g.isResponseTo(response, id)
 	}
-	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline) //nolint:bodyclose // readResponse closes it.
+	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
 	if err != nil {
 		o := g.noResponse(ctx, target.Target, deadline, sent, err)
 		if o.Ran == runst.Maybe {
--- a/outbnd/exit.go
+++ b/outbnd/exit.go
@@ -5,25 +5,36 @@
 	"bergamotloom.example/reason"
 )
 
+// exitMarginMillis is the time between the last deadline that a stopping node
+// accepts and its exit: a target that stops at its deadline says so in a response.
+const exitMarginMillis = 250
+
 // SetExitTime sets the time at which the stopping node exits, in milliseconds of
-// the node's clock.
+// the node's clock. From that time on, and shortly before it, all requests are
+// refused.
 func (e *Entry) SetExitTime(millis int64) {
 	e.exitAtMillis.Store(millis)
 }
 
-// checkExit refuses a caller's request whose deadline is after the node's exit:
-// it hasn't run, so the caller can send it to another node. A target can't send
-// its child calls to another node, so their deadline is moved to the node's exit.
+// checkExit makes sure that a request ends before the node exits. One with a later
+// deadline gets an earlier one if it can still meet its objective; otherwise it's
+// refused, so that the caller sends it to another node. A target can't send its
+// child calls to another node, so they're accepted as long as there's any time.
 func (e *Entry) checkExit(q *request) (output.Output, bool) {
 	exit := e.exitAtMillis.Load()
-	if exit == 0 || q.deadline <= float64(exit) {
+	lastDeadline := float64(exit) - exitMarginMillis
+	if exit == 0 || q.deadline <= lastDeadline {
 		return output.Output{}, true
 	}
-	remaining := float64(exit) - q.startedAt
-	if !q.trip.Call || remaining < minRemainingMillis {
+	neededMillis := q.trip.ObjectiveMillis
+	if q.trip.Call {
+		neededMillis = minRemainingMillis
+	}
+	remaining := lastDeadline - q.startedAt
+	if remaining < neededMillis {
 		return output.Refused(reason.Leaving, "the node ends before the request's time is over"), false
 	}
-	q.deadline = float64(exit)
+	q.deadline = lastDeadline
 	q.trip.LeftMillis = remaining
 	return output.Output{}, true
 }
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -122,6 +122,9 @@
 	n.mesh.Broadcast()
 	n.log.Info("node: stopping", "Active", n.active.Load())
 	n.waitIdle(min(minStopDelay, drainTimeout), time.Until(began.Add(drainTimeout)))
+	// Requests that still arrive are refused, and those that arrived before end.
+	n.entry.SetExitTime(n.clock.Now())
+	n.waitIdle(0, time.Until(began.Add(drainTimeout)))
 	if active := n.active.Load(); active > 0 {
 		n.log.Warn("node: requests end with the grace", "Active", active, "SinceMillis", time.Since(began).Milliseconds())
 	}
