Nodes count their calls to the store and the bytes between nodes

Where a fleet's calls to the store and its bytes between data centres go couldn't be told. Each call to the store is now counted by table, kind of call and reason (meter); bytes are counted by purpose and by whether they went to another data centre. Both stand among the metrics, in a log line every 5 s (node: totals), and in the output of `bergamotloom cost`.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -58,6 +58,9 @@
 	idle       []*conn
 	maxIdle    int
 	opened     atomic.Int64
+	// sent and received count bytes. The rest of a long body isn't counted as sent.
+	sent     atomic.Int64
+	received atomic.Int64
 }
 
 type conn struct {
@@ -101,6 +104,12 @@
 	return p.opened.Load()
 }
 
+// Bytes returns how many bytes were sent and received since the start, without the
+// rests of long bodies that were sent.
+func (p *Conns) Bytes() (sent, received int64) {
+	return p.sent.Load(), p.received.Load()
+}
+
 // Do sends a request, given as the bytes of its header and body, and waits for
 // the header of its response until the context ends or until deadlineMillis by
 // the clock. writeRest sends the rest of a long body, unless it's nil.
@@ -131,6 +140,7 @@
 		_ = c.Close()
 		return nil, nil, n > 0, errors.Wrap(err, "sending")
 	}
+	p.sent.Add(int64(len(request)))
 	var restSent chan error
 	if writeRest != nil {
 		restSent = make(chan error, 1)
@@ -232,7 +242,7 @@
 		return nil, errors.Wrap(err, "connecting")
 	}
 	p.opened.Add(1)
-	source := &headReader{source: opened}
+	source := &headReader{source: opened, received: &p.received}
 	c := &conn{Conn: opened, reader: bufio.NewReaderSize(source, readerBytes), source: source}
 	if tcp, ok := opened.(*net.TCPConn); ok {
 		c.raw, err = tcp.SyscallConn()
--- a/conns/head.go
+++ b/conns/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -13,6 +14,8 @@
 	inHead bool
 	// left is how many more bytes of the head may be read.
 	left int
+	// received counts all bytes that were read.
+	received *atomic.Int64
 }
 
 func (r *headReader) beginHead() { r.inHead, r.left = true, maxHeadBytes }
@@ -25,5 +28,6 @@
 	}
 	n, err := r.source.Read(b)
 	r.left -= n
+	r.received.Add(int64(n))
 	return n, err
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -65,11 +65,6 @@
 	return f.content
 }
 
-// Calls returns the number of calls made to the store.
-func (f *Follow) Calls() int64 {
-	return f.watch.Calls()
-}
-
 // Apply puts a configuration in force if it's newer than the current one. It
 // returns an error if the configuration is malformed.
 func (f *Follow) Apply(content []byte, from string) error {
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -107,6 +107,19 @@
 	return idle
 }
 
+// Bytes returns how many bytes were sent to and received from the gates at each
+// address since the start.
+func (p *Hops) Bytes() map[string]int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	all := make(map[string]int64, len(p.pools))
+	for address, pool := range p.pools {
+		sent, received := pool.Bytes()
+		all[address] = sent + received
+	}
+	return all
+}
+
 // Do sends a request to the gate at the address of the peer, and returns its
 // outcome. Reached is false if the request couldn't be sent or the connection
 // ended early, before the deadline. It's true if a response came, or if the
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -52,9 +52,9 @@
 func (f *largeFleet) sendAll(maxRelayed int, own func(i int) card.Card) {
 	for i, m := range f.nodes {
 		to, cards := m.message(own(i), fanout, maxRelayed)
-		for _, address := range to {
+		for _, r := range to {
 			for _, c := range cards {
-				f.byPort[address].accept(c)
+				f.byPort[r.address].accept(c)
 			}
 		}
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -86,6 +86,25 @@
 	self     card.Card
 	peers    map[string]*peer
 	probedAt int64
+	// sentBytes counts the bytes of the messages that were sent, by way.
+	sentBytes [wayCount]int64
+}
+
+// way says where a message goes.
+type way int
+
+const (
+	// toCentre is to a peer in the node's own data centre, toRemote to one in another.
+	toCentre way = iota
+	toRemote
+	// toSilent is to a peer that is silent or wasn't heard yet.
+	toSilent
+	wayCount
+)
+
+type recipient struct {
+	address netip.AddrPort
+	way     way
 }
 
 type peer struct {
@@ -171,29 +190,55 @@
 		m.log.Error("mesh: encoding a card failed", "Error", err.Error())
 		return
 	}
-	for _, address := range to {
+	for _, r := range to {
 		// A failed send is like a lost datagram.
-		_, _ = m.socket.WriteToUDPAddrPort(encoded, address)
+		_, _ = m.socket.WriteToUDPAddrPort(encoded, r.address)
+	}
+	m.countSent(to, len(encoded))
+}
+
+func (m *Mesh) countSent(to []recipient, bytes int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, r := range to {
+		m.sentBytes[r.way] += int64(bytes)
 	}
 }
 
+// SentBytes returns how many bytes of messages were sent since the start, without
+// the headers of datagrams: to peers in the node's own data centre, to those in
+// others, and to peers that were silent.
+func (m *Mesh) SentBytes() (local, remote, silent int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.sentBytes[toCentre], m.sentBytes[toRemote], m.sentBytes[toSilent]
+}
+
 // message returns the recipients of the next message, and the cards in it.
-func (m *Mesh) message(own card.Card, maxPeers, maxRelayed int) ([]netip.AddrPort, []card.Card) {
+func (m *Mesh) message(own card.Card, maxPeers, maxRelayed int) ([]recipient, []card.Card) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.self.Sequence++
 	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
 	own.Centre, own.Hops = m.self.Centre, m.self.Hops
 	now := m.clock.Now()
-	to, live := m.checkPeers(now)
+	probes, live := m.checkPeers(now)
 	cards := []card.Card{own}
 	if len(live) > maxDirectPeers {
 		m.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 		cards = append(cards, cardsToRelay(live, maxRelayed, now)...)
 		live = m.choosePeers(live, maxPeers)
 	}
+	to := make([]recipient, 0, len(probes)+len(live))
+	for _, address := range probes {
+		to = append(to, recipient{address, toSilent})
+	}
 	for _, p := range live {
-		to = append(to, p.address)
+		if p.card.Centre == m.self.Centre {
+			to = append(to, recipient{p.address, toCentre})
+		} else {
+			to = append(to, recipient{p.address, toRemote})
+		}
 	}
 	return to, cards
 }
--- a/sidecr/crashes.go
+++ b/sidecr/crashes.go
@@ -6,6 +6,7 @@
 
 	"bergamotloom.example/crash"
 	"bergamotloom.example/cursor"
+	"bergamotloom.example/meter"
 	"bergamotloom.example/record"
 )
 
@@ -32,7 +33,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.requests, crash.BlockMillis*time.Millisecond)
 		defer cancel()
-		n.retry(ctx, "recording a crash", func() error {
+		n.retry(ctx, meter.Crash, "recording a crash", func(ctx context.Context) error {
 			_, err := n.store.Put(ctx, crashesTable, key, value)
 			return err
 		})
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/card"
+	"bergamotloom.example/meter"
 	"bergamotloom.example/pause"
 )
 
@@ -52,28 +53,28 @@
 // again if most peers are silent, until the context ends.
 func (n *Sidecar) runMembership(ctx context.Context) {
 	n.addSeeds()
-	n.retry(ctx, "writing the node's row", func() error { return n.writeNode(ctx) })
+	n.retry(ctx, meter.Start, "writing the node's row", n.writeNode)
 	// Before a restart, the target may have announced that it leaves.
 	if !n.params.FirstStart {
-		n.retry(ctx, "reading the target that left", func() error { return n.readLeft(ctx) })
+		n.retry(ctx, meter.Start, "reading the target that left", n.readLeft)
 		n.hasReadLeft.Store(true)
 	}
-	n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
+	n.retry(ctx, meter.Start, "reading the nodes", n.readNodes)
 	pause.For(ctx, settleDelay)
-	n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
+	n.retry(ctx, meter.Start, "reading the nodes", n.readNodes)
 	renewAt := n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
 	for ctx.Err() == nil {
 		pause.For(ctx, peerCheckInterval+rand.N(peerCheckInterval))
 		if n.clock.Now() >= renewAt {
 			renewAt = n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
-			n.retry(ctx, "writing the node's row", func() error { return n.writeNode(ctx) })
+			n.retry(ctx, meter.Renewal, "writing the node's row", n.writeNode)
 			if n.isWatcher() {
-				n.retry(ctx, "removing stale rows", func() error { return n.removeStale(ctx) })
-				n.retry(ctx, "removing stale rows", func() error { return n.removeExpiredCrashes(ctx) })
+				n.retry(ctx, meter.Removal, "removing stale rows", n.removeStale)
+				n.retry(ctx, meter.Removal, "removing stale rows", n.removeExpiredCrashes)
 			}
 		}
 		if peers, live := n.mesh.PeerCounts(); live*2 < peers {
-			n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
+			n.retry(ctx, meter.Silence, "reading the nodes", n.readNodes)
 		}
 	}
 }
@@ -135,7 +136,7 @@
 // knows it after a restart. If that fails within recordLeaveTimeout, it goes on in
 // the background.
 func (n *Sidecar) recordLeave(ctx context.Context, target string) {
-	ctx, cancel := context.WithTimeout(ctx, recordLeaveTimeout)
+	ctx, cancel := context.WithTimeout(meter.Because(ctx, meter.Leave), recordLeaveTimeout)
 	defer cancel()
 	err := n.writeLeft(ctx, target)
 	if err == nil {
@@ -145,7 +146,7 @@
 	if n.recordingLeave.CompareAndSwap(false, true) {
 		go func() {
 			defer n.recordingLeave.Store(false)
-			n.retry(n.requests, "recording a leaving target", func() error { return n.writeLeft(n.requests, n.gate.LastLeft()) })
+			n.retry(n.requests, meter.Leave, "recording a leaving target", func(ctx context.Context) error { return n.writeLeft(ctx, n.gate.LastLeft()) })
 		}()
 	}
 }
@@ -166,11 +167,15 @@
 	return nil
 }
 
-// retry repeats work with an exponential delay until it succeeds.
-func (n *Sidecar) retry(ctx context.Context, purpose string, work func() error) {
+// retry repeats calls to the store, which have this reason, with an exponential delay
+// until they succeed. Purpose says for logs what they're for.
+func (n *Sidecar) retry(ctx context.Context, reason, purpose string, work func(context.Context) error) {
 	delay := minRetryDelay
 	for lost := false; ctx.Err() == nil; {
-		err := work()
+		if lost {
+			reason = meter.Retry
+		}
+		err := work(meter.Because(ctx, reason))
 		if err == nil {
 			if lost {
 				n.log.Info("node: store regained", "For", purpose)
@@ -204,23 +209,23 @@
 	return lower < watcherCount
 }
 
-// newestPeer returns a random peer with the newest configuration and its
-// version, or "" and this node's version if no peer has a newer one.
-func (n *Sidecar) newestPeer() (peer string, newest int64) {
-	newest = n.follow.Version()
-	var peers []string
+// newestPeer returns the card of a random peer with the newest configuration; ok is
+// false if no peer has a newer one than this node.
+func (n *Sidecar) newestPeer() (peer card.Card, ok bool) {
+	newest := n.follow.Version()
+	var peers []card.Card
 	for _, c := range n.mesh.Cards() {
 		switch {
 		case c.Version > newest:
-			newest, peers = c.Version, []string{c.Peers}
+			newest, peers = c.Version, []card.Card{c}
 		case c.Version == newest && len(peers) > 0:
-			peers = append(peers, c.Peers)
+			peers = append(peers, c)
 		}
 	}
 	if len(peers) == 0 {
-		return "", newest
+		return card.Card{}, false
 	}
-	return peers[rand.IntN(len(peers))], newest
+	return peers[rand.IntN(len(peers))], true
 }
 
 // catchUp fetches the configuration from a peer whenever one has a newer
@@ -230,8 +235,8 @@
 	checksBehind := 0
 	for ctx.Err() == nil {
 		pause.For(ctx, versionCheckMillis*time.Millisecond)
-		peer, newest := n.newestPeer()
-		if peer == "" {
+		peer, ok := n.newestPeer()
+		if !ok {
 			checksBehind = 0
 			continue
 		}
@@ -241,13 +246,13 @@
 			continue
 		}
 		if err := n.fetchConfig(ctx, client, peer); err != nil {
-			n.log.Warn("node: fetching the configuration from a peer failed", "Peer", peer, "Version", newest, "Error", err.Error())
+			n.log.Warn("node: fetching the configuration from a peer failed", "Peer", peer.Peers, "Version", peer.Version, "Error", err.Error())
 		}
 	}
 }
 
-func (n *Sidecar) fetchConfig(ctx context.Context, client *http.Client, peer string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+configPath, http.NoBody)
+func (n *Sidecar) fetchConfig(ctx context.Context, client *http.Client, peer card.Card) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Peers+configPath, http.NoBody)
 	if err != nil {
 		return errors.Wrap(err, "fetch")
 	}
@@ -261,5 +266,10 @@
 	if err != nil || response.StatusCode != http.StatusOK {
 		return errors.Errorf("fetch: status %d, %v", response.StatusCode, err)
 	}
-	return n.follow.Apply(content, "peer "+peer)
+	if peer.Centre == n.params.Centre {
+		n.fetchedLocal.Add(int64(len(content)))
+	} else {
+		n.fetchedRemote.Add(int64(len(content)))
+	}
+	return n.follow.Apply(content, "peer "+peer.Peers)
 }
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -74,7 +74,7 @@
 	runtime.ReadMemStats(&memory)
 	for name, value := range map[string]int64{
 		"config.version": n.follow.Version(),
-		"store.calls":    n.follow.Calls() + n.crashes.Calls(),
+		"store.calls":    n.storeCalls(),
 		"store.era":      n.store.Era(),
 		// -1 until the node's row is written for the first time.
 		"store.written.era": n.writtenEra.Load(),
@@ -99,6 +99,9 @@
 	} {
 		metrics.GetOrRegisterGauge(name, n.registry).Update(value)
 	}
+	for way, bytes := range n.bytes() {
+		metrics.GetOrRegisterGauge(BytesPrefix+way, n.registry).Update(bytes)
+	}
 	accepting := int64(0)
 	if n.accepting.Load() {
 		accepting = 1
--- a/sidecr/restore.go
+++ b/sidecr/restore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotloom.example/card"
+	"bergamotloom.example/meter"
 	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
 )
@@ -40,7 +41,7 @@
 		// A node that doesn't watch the store asks it once a peer knows a later era.
 		if era := n.newestPeerEra(); era > max(peersEra, n.store.Era()) {
 			peersEra = era
-			n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
+			n.retry(ctx, meter.Restore, "reading the nodes", n.readNodes)
 		}
 	}
 }
@@ -60,11 +61,11 @@
 	peers, _ := n.mesh.PeerCounts()
 	pause.For(ctx, rand.N(time.Duration(peers+1)*time.Second/rewritesPerSecond))
 	// The target's row first: a node that restarts needs it.
-	n.retry(ctx, "writing the target that left anew", func() error { return n.writeLeft(ctx, n.gate.LastLeft()) })
-	n.retry(ctx, "writing the node's row anew", func() error { return n.writeNode(ctx) })
-	n.retry(ctx, "writing crashes anew", func() error { return n.writeCrashesAnew(ctx) })
+	n.retry(ctx, meter.Restore, "writing the target that left anew", func(ctx context.Context) error { return n.writeLeft(ctx, n.gate.LastLeft()) })
+	n.retry(ctx, meter.Restore, "writing the node's row anew", n.writeNode)
+	n.retry(ctx, meter.Restore, "writing crashes anew", n.writeCrashesAnew)
 	pause.For(ctx, verifyDelay)
-	n.retry(ctx, "reading the nodes", func() error { return n.readNodes(ctx) })
+	n.retry(ctx, meter.Restore, "reading the nodes", n.readNodes)
 }
 
 // writeCrashesAnew writes the crashes that this node knows and that the table lacks.
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -29,6 +29,7 @@
 	"bergamotloom.example/hops"
 	"bergamotloom.example/inbnd"
 	"bergamotloom.example/mesh"
+	"bergamotloom.example/meter"
 	"bergamotloom.example/notice"
 	"bergamotloom.example/outbnd"
 	"bergamotloom.example/params"
@@ -108,7 +109,11 @@
 	nodeEra    atomic.Int64
 	leftEra    atomic.Int64
 	// rewritten counts the rows that were written anew after a restore.
-	rewritten         atomic.Int64
+	rewritten atomic.Int64
+	// fetchedLocal and fetchedRemote are the bytes of configurations that were fetched
+	// from peers in the node's own data centre and in others.
+	fetchedLocal      atomic.Int64
+	fetchedRemote     atomic.Int64
 	active            atomic.Int64
 	lastRequestMillis atomic.Int64
 	group             sync.WaitGroup
@@ -120,7 +125,9 @@
 func New(p params.Params, dialect dialct.Dialect, store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger) (*Sidecar, error) {
 	seed := rand.Uint64()
 	requests, endRequests := context.WithCancelCause(context.Background())
-	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: metrics.NewRegistry(), ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
+	registry := metrics.NewRegistry()
+	store = meter.New(store, registry)
+	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: registry, ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
 	for _, era := range []*atomic.Int64{&n.writtenEra, &n.nodeEra, &n.leftEra} {
 		era.Store(-1)
 	}
@@ -228,6 +235,7 @@
 	n.runTask(tasks, n.runMembership)
 	n.runTask(tasks, n.watchEra)
 	n.runTask(tasks, n.catchUp)
+	n.runTask(tasks, n.logTotals)
 	n.log.Info("node: started", "Node", n.params.Name, "Service", n.params.Service, "Centre", n.params.Centre, "Peers", n.params.Peers, "FirstStart", n.params.FirstStart)
 	<-ctx.Done()
 	n.stop(servers)
--- a/verbs/cost.go
+++ b/verbs/cost.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,5 +49,8 @@
 	fmt.Fprintf(s.out, "processor time of an idle node: %.2f%% of a core\n", 100*got.IdleFraction)
 	fmt.Fprintf(s.out, "memory of a node at most: %.0f MB\n", float64(got.PeakBytes)/bytesPerMB)
 	fmt.Fprintf(s.out, "calls to the store, idle fleet of %d: %.1f a second\n", c.Machines, got.StoreCallsPerSecond)
+	for _, name := range slices.Sorted(maps.Keys(got.Totals)) {
+		fmt.Fprintf(s.out, "%s %d\n", name, got.Totals[name])
+	}
 	return nil
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/cursor"
 	"bergamotloom.example/feed"
+	"bergamotloom.example/meter"
 	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
 )
@@ -30,8 +30,7 @@
 	maxRetryDelay = 1200 * time.Millisecond
 )
 
-// Watch follows one table. Run uses one goroutine; the other methods are safe for
-// many.
+// Watch follows one table, in one goroutine.
 type Watch struct {
 	store feed.Feed
 	table string
@@ -46,8 +45,9 @@
 	isWatcher func() bool
 	onRows    func([]record.Record)
 
-	calls     atomic.Int64
 	storeLost bool
+	// hasStarted is true once the table was read for the first time.
+	hasStarted bool
 }
 
 // New returns a watch of a table. It passes the rows that were read or have changed
@@ -56,11 +56,6 @@
 	return &Watch{store: store, table: table, minWaitMillis: minWaitMillis, clock: c, log: log, isWatcher: isWatcher, onRows: onRows}
 }
 
-// Calls returns the number of calls made to the store.
-func (w *Watch) Calls() int64 {
-	return w.calls.Load()
-}
-
 // Run follows the table until the context ends.
 func (w *Watch) Run(ctx context.Context) {
 	var at cursor.Cursor
@@ -95,7 +90,7 @@
 // poll reads all rows, or, if they were read before, waits for changes after the
 // position. It returns the position for the next call.
 func (w *Watch) poll(ctx context.Context, after cursor.Cursor, hasRead bool) (cursor.Cursor, error) {
-	w.calls.Add(1)
+	ctx = meter.Because(ctx, w.reason(hasRead))
 	var rows []record.Record
 	var next cursor.Cursor
 	var err error
@@ -105,11 +100,27 @@
 		rows, next, err = w.store.Rows(ctx, w.table)
 	}
 	if err == nil {
+		w.hasStarted = true
 		w.onRows(rows)
 	}
 	return next, err
 }
 
+// reason returns for counters why the store is called.
+func (w *Watch) reason(hasRead bool) string {
+	switch {
+	case w.storeLost:
+		return meter.Retry
+	case !w.hasStarted:
+		return meter.Start
+	case !hasRead:
+		return meter.Gap
+	case w.isWatcher():
+		return meter.Watch
+	}
+	return meter.Check
+}
+
 // waitTimeout returns how long the next call may wait for changes. After a failed
 // call it doesn't wait: while a long call has no response yet, the node can't detect
 // that the store is available again.
