A request lost at a silent connection asks again for a retry

- TestSilentHopCostsNoDeadline: an entry grants retries when a request begins and takes them back when it ends.
Requests in flight held the whole budget, or the only retry of a request had gone along with the attempt that got no response.
Now a request without one asks the entry's budget again when it needs one, up to the retries of its route.
- TestSilentTargetConnectionsCostNoDeadline: a gate whose first attempt met a silent connection to its target, and which had no retry, refused with InstanceLost, so that two such gates looked like two lost instances.
Its refusal now says Loom-Stalled, and such an instance doesn't count as lost.

Ruled out: more heartbeats; the requests that failed had waited 450 ms or half of their time.

--- a/dispat/delivery.go
+++ b/dispat/delivery.go
@@ -33,8 +33,11 @@
 	envelope       envel.Envelope
 	deadlineMillis int64
 	allowance      retry.Allowance
-	outgoing       *resendableRequest
-	tried          []string
+	// grantRetry grants one more retry once the allowance is used up, if it isn't
+	// nil.
+	grantRetry func() bool
+	outgoing   *resendableRequest
+	tried      []string
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
 	// instancesLost counts the instances that were lost while they had the
@@ -124,6 +127,17 @@
 	if !retry.Safe(result.Refusal.Ran, d.envelope.Idempotent) {
 		return false
 	}
+	return d.takeRetry()
+}
+
+// takeRetry takes one retry from the allowance and one from the budget of the pair
+// of services, and reports whether there was one in both. An attempt without a
+// response has used up what it got of the allowance, and other requests may have
+// held all retries when this one began.
+func (d *delivery) takeRetry() bool {
+	if d.allowance.Left() == 0 && d.grantRetry != nil && d.grantRetry() {
+		d.allowance = retry.New(1)
+	}
 	allowanceLeft, ok := d.allowance.Take()
 	if !ok || !d.dispatcher.spendRetry(d.budgetKey) {
 		return false
@@ -133,10 +147,10 @@
 }
 
 // lostInstance reports whether the instance was lost while it had the request.
-// An instance whose connection stalled may still be running and doesn't
-// count.
+// An instance may still be running, and doesn't count, if only one connection to it
+// or to its target stalled.
 func (d *delivery) lostInstance(result reply.Reply) bool {
-	return result.Refusal.Reason == reason.InstanceLost && result.Refusal.Ran != runst.Never && !result.ConnectionStalled
+	return result.Refusal.Reason == reason.InstanceLost && result.Refusal.Ran != runst.Never && !result.ConnectionStalled && !result.TargetStalled
 }
 
 // retryable reports whether another instance might serve the request.
--- a/dispat/dispat.go
+++ b/dispat/dispat.go
@@ -80,8 +80,10 @@
 // service from, which is empty for a caller from outside. e is the request's
 // envelope, deadlineMillis the time at which its deadline expires, and
 // allowance the number of retries that it may cause here and further down the
-// chain. It returns the result and the unused allowance.
-func (d *Dispatcher) Send(ctx context.Context, from, service string, e envel.Envelope, deadlineMillis int64, allowance retry.Allowance, r *http.Request) (reply.Reply, retry.Allowance) {
+// chain. Once that is used up, grantRetry is called for each further retry here, and
+// reports whether it may be made; without it there are none. Send returns the result
+// and the unused allowance.
+func (d *Dispatcher) Send(ctx context.Context, from, service string, e envel.Envelope, deadlineMillis int64, allowance retry.Allowance, grantRetry func() bool, r *http.Request) (reply.Reply, retry.Allowance) {
 	pending := &delivery{
 		dispatcher:     d,
 		service:        service,
@@ -89,6 +91,7 @@
 		envelope:       e,
 		deadlineMillis: deadlineMillis,
 		allowance:      allowance,
+		grantRetry:     grantRetry,
 		outgoing:       newResendableRequest(r),
 		lowest:         bounds.None(),
 	}
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -9,10 +9,21 @@
 // grantAllowance grants the request as many retries as its route allows and the
 // node's retry budget has left.
 func grantAllowance(e *Entry, x *exchange) (refuse.Refusal, bool) {
-	x.allowance = retry.New(e.overload.grantRetries(x.route.Retries))
+	x.granted = e.overload.grantRetries(x.route.Retries)
+	x.allowance = retry.New(x.granted)
 	return proceed()
 }
 
+// grantRetry grants the request one more retry at this node, if its route allows
+// that and the node's retry budget has one.
+func (e *Entry) grantRetry(x *exchange) bool {
+	if x.granted >= x.route.Retries || !e.overload.takeRetry() {
+		return false
+	}
+	x.granted++
+	return true
+}
+
 // chargeTargetRetry takes a retry from the parent's allowance when the target
 // retries a call that failed before, so that retries made by the target are
 // bounded too.
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -60,17 +60,17 @@
 
 // send dispatches the request. The retries of a call made by a target come out
 // of the allowance of its parent, those of other requests out of the allowance
-// from grantAllowance.
+// from grantAllowance and the node's retry budget.
 func (e *Entry) send(x *exchange) reply.Reply {
 	outgoing := x.request.WithContext(x.context)
 	outgoing.Header = header.Forward(x.request.Header)
 	if x.parent == nil {
-		response, unused := e.dispatch.Send(x.context, "", x.route.Service, x.envelope, x.deadlineMillis, x.allowance, outgoing)
+		response, unused := e.dispatch.Send(x.context, "", x.route.Service, x.envelope, x.deadlineMillis, x.allowance, func() bool { return e.grantRetry(x) }, outgoing)
 		e.overload.returnRetries(unused.Left())
 		return response
 	}
 	childAllowance := x.parent.BeginChild()
-	response, unused := e.dispatch.Send(x.context, e.ownService(), x.route.Service, x.envelope, x.deadlineMillis, childAllowance, outgoing)
+	response, unused := e.dispatch.Send(x.context, e.ownService(), x.route.Service, x.envelope, x.deadlineMillis, childAllowance, nil, outgoing)
 	x.parent.EndChild(unused)
 	x.parent.RecordBounds(response.Lowest)
 	if !response.Served() || response.Status >= http.StatusInternalServerError {
--- a/entry/early.go
+++ b/entry/early.go
@@ -53,6 +53,14 @@
 	return f.retryBudget.Grant(n)
 }
 
+// takeRetry takes one retry from the budget for a request that was counted already,
+// and reports whether there was one.
+func (f *overloadState) takeRetry() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.retryBudget.Spend()
+}
+
 func (f *overloadState) returnRetries(n int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,7 +89,9 @@
 	// clock.
 	deadlineMillis int64
 	allowance      retry.Allowance
-	body           *limitedBody
+	// granted is how many retries the request was granted in all.
+	granted int
+	body    *limitedBody
 	// claim is the row that makes the request run at most once, or nil.
 	claim *claim.Claim
 	// responded says that the response has begun or is complete, so that the
--- a/forwrd/forwrd.go
+++ b/forwrd/forwrd.go
@@ -147,6 +147,7 @@
 	if cause := response.Header.Get(header.Refused); cause != "" {
 		_ = response.Body.Close()
 		a.cancel(errAbandoned)
+		result.TargetStalled = response.Header.Get(header.Stalled) == strconv.FormatBool(true)
 		result.Refusal = refuse.New(reason.Reason(cause)).
 			WithRan(runst.State(response.Header.Get(runst.Header))).
 			WithRetryAfter(int64(headerInt(response.Header, header.RetryAfterMillis, 0)))
--- a/header/forward.go
+++ b/header/forward.go
@@ -18,6 +18,9 @@
 	// UnusedAllowance is the part of the retry allowance that is returned, in
 	// retries.
 	UnusedAllowance = "Loom-Unused-Allowance"
+	// Stalled is "true" in a refusal if the target sent nothing on one connection.
+	// New ones may work, so the instance isn't lost.
+	Stalled = "Loom-Stalled"
 )
 
 // Bearer is the prefix of an Authorization header that holds an API key.
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -37,6 +37,9 @@
 	// ConnectionStalled is true if the peer's connection made no progress
 	// within its timeout.
 	ConnectionStalled bool
+	// TargetStalled is true if the peer's target sent nothing on the connection that
+	// the peer used. It may respond on others.
+	TargetStalled bool
 	// ConnectionLost is true if the connection was lost while the peer had the
 	// request.
 	ConnectionLost bool
--- a/runner/retry.go
+++ b/runner/retry.go
@@ -29,7 +29,13 @@
 	timeout := time.Duration(c.DeadlineMillis-r.clock.Now()) * time.Millisecond / firstAttemptTimeoutDivisor
 	timer := time.AfterFunc(timeout, func() { cancelFirst(errNoResponse) })
 	res, maybeSent, err = r.target.Send(firstContext, r.outgoing(in, c))
-	if timer.Stop() || !c.TakeRetry() {
+	if timer.Stop() {
+		return res, maybeSent, err
+	}
+	if !c.TakeRetry() {
+		if err != nil {
+			err = errNoResponse
+		}
 		return res, maybeSent, err
 	}
 	if err == nil {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -121,6 +121,9 @@
 	res, maybeSent, err := r.send(in, c)
 	interim.stop()
 	if err != nil {
+		if errors.Is(err, errNoResponse) {
+			w.Header().Set(header.Stalled, strconv.FormatBool(true))
+		}
 		r.refuse(w, r.failureRefusal(c.Context(), c.Envelope.Fingerprint, maybeSent, err), c.Envelope, c)
 		return false
 	}
