A team isn't refused within its rate while its owner is being found

Cause: a request waited 25 ms for a token, and was then refused as over the rate, also if nobody had responded. A new fleet takes longer to find the owner of a rate: the first heartbeat of a term was confirmed with the next one only, 400 ms later. Now that heartbeat is confirmed at once, a request waits up to 600 ms for an owner that hasn't responded, and is then refused as RateUnknown, 503. An owner that has no tokens is still believed at once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,7 @@
 // milliseconds. A refusal comes with the time in milliseconds after which the
 // team may retry.
 type rateLimiter interface {
-	Take(ctx context.Context, team string) (granted bool, retryAfterMillis int64)
+	Take(ctx context.Context, team string) (granted, exhausted bool, retryAfterMillis int64)
 }
 
 // New returns an entry. currentConfig returns the configuration in force, or
--- a/entry/rate.go
+++ b/entry/rate.go
@@ -13,9 +13,13 @@
 	if x.team.Name == "" {
 		return proceed()
 	}
-	granted, retryAfterMillis := e.limiter.Take(x.context, x.team.Name)
-	if !granted {
-		return refuse.New(reason.RateExceeded).WithRetryAfter(retryAfterMillis), true
+	granted, exhausted, retryAfterMillis := e.limiter.Take(x.context, x.team.Name)
+	if granted {
+		return proceed()
+	}
+	cause := reason.RateUnknown
+	if exhausted {
+		cause = reason.RateExceeded
 	}
-	return proceed()
+	return refuse.New(cause).WithRetryAfter(retryAfterMillis), true
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -58,6 +58,8 @@
 	// to it confirms.
 	receivedSeq    int64
 	lastSeenMillis int64
+	// isConfirmed is true once a heartbeat of it was confirmed in this term.
+	isConfirmed bool
 	// leaseEndMillis is when the lease from it ends.
 	leaseEndMillis int64
 	// confirmedDeadDuringLease is true if the member was confirmed dead before its lease
--- a/lease/message.go
+++ b/lease/message.go
@@ -90,9 +90,10 @@
 	if sent := peer.sentTime(h.Echo); sent > 0 {
 		peer.leaseEndMillis = max(peer.leaseEndMillis, sent+leaseMillis)
 	}
-	// A heartbeat that confirms nothing may come from a member that got none of this
-	// node's yet, so it's replied to at once.
-	if isNew && h.Echo == 0 && now-peer.heartbeatAt >= minHeartbeatMillis {
+	// The first heartbeat of a term is confirmed at once, as the head can't act before.
+	// One that confirms nothing may come from a member that got none of this node's
+	// yet, so it's replied to as well.
+	if isNew && (!peer.isConfirmed || h.Echo == 0 && now-peer.heartbeatAt >= minHeartbeatMillis) {
 		l.sendHeartbeat(from, peer, now)
 	}
 }
@@ -124,6 +125,7 @@
 	h := heartbeat{Version: l.version, Incarnation: l.self.Incarnation, Seq: peer.seq}
 	if l.phase != awaitingExpiry && l.phase != writing && peer.receivedSeq > 0 {
 		h.Echo = peer.receivedSeq
+		peer.isConfirmed = true
 		l.confirmedAt = now
 	}
 	l.callbacks.send(to, encode(h))
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -1,5 +1,7 @@
 package quota
 
+import "slices"
+
 // requestIfNeeded requests tokens from the owner, or returns unused ones to it,
 // if that is due.
 func (q *Quota) requestIfNeeded(s *teamState, now int64) {
@@ -70,14 +72,14 @@
 // handleGrant takes the owner's response and admits waiting requests.
 func (q *Quota) handleGrant(s *teamState, m message, now int64) {
 	if m.EpochID == 0 {
-		if s.tokens.HandleRefusal(m.Seq, m.RetryMillis, now) && m.RetryMillis > 0 {
-			q.refuseAll(s, m.RetryMillis)
-		}
+		// A new owner can't grant tokens yet.
+		s.tokens.HandleRefusal(m.Seq, m.RetryMillis, now)
 		return
 	}
 	if !s.tokens.IsPending(m.Seq) {
 		return
 	}
+	s.waitedInVain = false
 	if m.EpochID != s.epochID {
 		// The held tokens are of another epoch, which the owner doesn't count,
 		// so they are discarded.
@@ -88,7 +90,7 @@
 	q.admit(s, int(admitted))
 	q.admitWaiting(s, now)
 	if m.RetryMillis > 0 {
-		q.refuseAll(s, m.RetryMillis)
+		q.refuseAll(s, true, m.RetryMillis)
 	}
 	q.requestIfNeeded(s, now)
 }
@@ -115,23 +117,27 @@
 // admit admits the n oldest waiting requests.
 func (q *Quota) admit(s *teamState, n int) {
 	for _, w := range s.waiters[:n] {
-		q.outcomes = append(q.outcomes, outcome{w.done, true, 0})
+		q.outcomes = append(q.outcomes, outcome{done: w.done, granted: true})
 	}
 	s.waiters = s.waiters[n:]
 }
 
 // refuseAll refuses all waiting requests.
-func (q *Quota) refuseAll(s *teamState, retryMillis int64) {
+func (q *Quota) refuseAll(s *teamState, exhausted bool, retryMillis int64) {
 	for _, w := range s.waiters {
-		q.outcomes = append(q.outcomes, outcome{w.done, false, retryMillis})
+		q.outcomes = append(q.outcomes, outcome{w.done, false, exhausted, retryMillis})
 	}
 	s.waiters = nil
 }
 
 // expire refuses the requests that have waited too long.
 func (q *Quota) expire(s *teamState, now int64) {
-	for len(s.waiters) > 0 && now >= s.waiters[0].deadline {
-		q.outcomes = append(q.outcomes, outcome{s.waiters[0].done, false, unreachableRetryMillis})
-		s.waiters = s.waiters[1:]
-	}
+	s.waiters = slices.DeleteFunc(s.waiters, func(w waiter) bool {
+		if now < w.deadline {
+			return false
+		}
+		s.waitedInVain = true
+		q.outcomes = append(q.outcomes, outcome{w.done, false, false, unreachableRetryMillis})
+		return true
+	})
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -26,8 +26,12 @@
 )
 
 const (
-	// maxWaitMillis bounds the time that a request waits for a token.
-	maxWaitMillis = 25
+	// maxWaitMillis bounds the time that a request waits for the owner's response. It
+	// usually comes within a few milliseconds; after the start of a fleet, nodes need
+	// up to this long to find the owner. Once a request has waited in vain, others wait
+	// for minWaitMillis until the owner responds.
+	maxWaitMillis = 600
+	minWaitMillis = 25
 	// maxWaitingRequests bounds the requests of one team that wait at one node.
 	maxWaitingRequests = 1024
 	// unreachableRetryMillis is the retry hint when the owner can't be reached.
@@ -62,14 +66,15 @@
 
 // outcome is a result that hasn't been passed to its done function yet.
 type outcome struct {
-	done             func(granted bool, retryAfterMillis int64)
+	done             func(granted, exhausted bool, retryAfterMillis int64)
 	granted          bool
+	exhausted        bool
 	retryAfterMillis int64
 }
 
 // waiter is a request that waits for a token until a deadline.
 type waiter struct {
-	done     func(granted bool, retryAfterMillis int64)
+	done     func(granted, exhausted bool, retryAfterMillis int64)
 	deadline int64
 }
 
@@ -84,6 +89,9 @@
 	// pending token request.
 	requestedOwner string
 	waiters        []waiter
+	// waitedInVain says that a request was refused as the owner didn't respond, and
+	// that it hasn't responded since.
+	waitedInVain bool
 	// searchedAt is when an owner was last searched, in milliseconds.
 	searchedAt int64
 	// owner is the state as owner, nil if this node never was one.
@@ -159,7 +167,7 @@
 		q.teamList = append(q.teamList, s)
 	}
 	for _, s := range old {
-		q.refuseAll(s, unreachableRetryMillis)
+		q.refuseAll(s, false, unreachableRetryMillis)
 	}
 }
 
@@ -239,27 +247,32 @@
 
 // TakeOrWait uses a token of the team and calls done when the outcome is known:
 // at once if this node holds a token or the owner has none to grant, otherwise
-// within maxWaitMillis (25 ms) and one tick. A refusal contains after how many
-// milliseconds to retry.
-func (q *Quota) TakeOrWait(name string, done func(granted bool, retryAfterMillis int64)) {
+// within maxWaitMillis (600 ms) and one tick. Of a refusal, exhausted says that the
+// team's tokens are used up, and not that the owner didn't respond in time. It
+// contains after how many milliseconds to retry.
+func (q *Quota) TakeOrWait(name string, done func(granted, exhausted bool, retryAfterMillis int64)) {
 	q.mu.Lock()
 	defer q.unlockAndDeliver()
 	s := q.teams[name]
 	if s == nil {
-		q.outcomes = append(q.outcomes, outcome{done, false, unreachableRetryMillis})
+		q.outcomes = append(q.outcomes, outcome{done, false, false, unreachableRetryMillis})
 		return
 	}
 	now := q.clock.Now()
 	s.tokens.CountArrival(now)
 	if s.tokens.Take(now) {
-		q.outcomes = append(q.outcomes, outcome{done, true, 0})
+		q.outcomes = append(q.outcomes, outcome{done: done, granted: true})
 		return
 	}
 	if retryMillis, exhausted := s.tokens.Exhausted(now); exhausted || len(s.waiters) >= maxWaitingRequests {
-		q.outcomes = append(q.outcomes, outcome{done, false, max(retryMillis, 1)})
+		q.outcomes = append(q.outcomes, outcome{done, false, exhausted, max(retryMillis, 1)})
 		return
 	}
-	s.waiters = append(s.waiters, waiter{done, now + maxWaitMillis})
+	waitMillis := int64(maxWaitMillis)
+	if s.waitedInVain {
+		waitMillis = minWaitMillis
+	}
+	s.waiters = append(s.waiters, waiter{done, now + waitMillis})
 	q.requestIfNeeded(s, now)
 }
 
@@ -366,7 +379,7 @@
 	q.outcomes = nil
 	q.mu.Unlock()
 	for _, c := range outcomes {
-		c.done(c.granted, c.retryAfterMillis)
+		c.done(c.granted, c.exhausted, c.retryAfterMillis)
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -56,3 +56,14 @@
 		assert.Equal(t, f.refusedBetween(killedAt+5000, f.now), 0)
 	}
 }
+
+// A fleet serves requests while it looks for the team's owner. In the lag of links
+// and processes that have just started, a token takes longer than in a calm fleet.
+func TestTeamWithinItsRateIsNotRefusedWhenTheFleetStarts(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, 600, 600)
+		f.messageMillis = 15
+		f.run(5000, f.arrivals(60, anyOf(f, -1)))
+		assert.Equal(t, len(f.refused), 0, "seed %d: %d requests refused, %d admitted", seed, len(f.refused), len(f.admitted))
+	}
+}
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -59,30 +59,32 @@
 }
 
 // Take uses a token of the team for one request. If this node holds none, it waits
-// for one, until package quota refuses the request (about 25 ms) or the context
-// ends. A refusal says after how many milliseconds to retry.
-func (r *Rates) Take(ctx context.Context, team string) (granted bool, retryAfterMillis int64) {
+// for one, until package quota refuses the request (about 600 ms at most) or the context
+// ends. Of a refusal, exhausted says that the team's tokens are used up, and not that
+// none could be had in time. It says after how many milliseconds to retry.
+func (r *Rates) Take(ctx context.Context, team string) (granted, exhausted bool, retryAfterMillis int64) {
 	if ok, _ := r.quota.Take(team); ok {
-		return true, 0
+		return true, false, 0
 	}
 	outcomes := make(chan outcome, 1)
 	r.waiting.Add(1)
 	defer r.waiting.Add(-1)
 	r.ticker.Wake()
-	r.quota.TakeOrWait(team, func(granted bool, retryAfterMillis int64) {
-		outcomes <- outcome{granted, retryAfterMillis}
+	r.quota.TakeOrWait(team, func(granted, exhausted bool, retryAfterMillis int64) {
+		outcomes <- outcome{granted, exhausted, retryAfterMillis}
 	})
 	select {
 	case o := <-outcomes:
-		return o.granted, o.retryAfterMillis
+		return o.granted, o.exhausted, o.retryAfterMillis
 	case <-ctx.Done():
-		return false, cancelledRetryMillis
+		return false, false, cancelledRetryMillis
 	}
 }
 
 // outcome is what TakeOrWait passes to its done function.
 type outcome struct {
 	granted          bool
+	exhausted        bool
 	retryAfterMillis int64
 }
 
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -18,6 +18,7 @@
 	RequestConflict  Reason = "RequestConflict"
 	BodyTooLarge     Reason = "BodyTooLarge"
 	RateExceeded     Reason = "RateExceeded"
+	RateUnknown      Reason = "RateUnknown"
 	Overloaded       Reason = "Overloaded"
 	NoInstance       Reason = "NoInstance"
 	Leaving          Reason = "Leaving"
@@ -46,6 +47,7 @@
 	RequestConflict:  {409, "A request with this idempotency key has another body or hasn't ended yet."},
 	BodyTooLarge:     {413, "The body is larger than the route allows."},
 	RateExceeded:     {429, "The team is over its rate and burst."},
+	RateUnknown:      {503, "The team's rate can't be checked at present."},
 	Overloaded:       {503, "The service is overloaded and more important work goes first."},
 	NoInstance:       {503, "No instance of the service can be reached."},
 	Leaving:          {503, "The instance is leaving and takes no new work."},
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -53,6 +53,9 @@
 	countedAt         int64
 	lastArrivalAt     int64
 	exhaustedUntil    int64
+	// requestAfter is until when no tokens are requested, as the owner can't grant
+	// any yet.
+	requestAfter      int64
 	prefetchAfter     int64
 	requestedPrefetch int64
 	// grantedBalance is the balance after the last grant.
@@ -104,7 +107,7 @@
 		}
 		t.timeOut()
 	}
-	if _, exhausted := t.Exhausted(now); exhausted {
+	if _, exhausted := t.Exhausted(now); exhausted || now < t.requestAfter {
 		return false
 	}
 	if waiting > 0 {
@@ -193,11 +196,12 @@
 	return t.pending && seq == t.seq
 }
 
-// HandleRefusal takes the response of an owner that may not grant tokens yet. The
-// expiry of the held tokens doesn't change. It reports whether that token request was
-// pending.
-func (t *Tokens) HandleRefusal(seq, retryMillis, now int64) bool {
-	return t.handleResponse(seq, retryMillis, now)
+// HandleRefusal takes the response of an owner that may not grant tokens yet, and
+// should be asked again in retryMillis. The expiry of the held tokens doesn't change.
+func (t *Tokens) HandleRefusal(seq, retryMillis, now int64) {
+	if t.handleResponse(seq, 0, now) {
+		t.requestAfter = now + retryMillis
+	}
 }
 
 func (t *Tokens) handleResponse(seq, retryMillis, now int64) bool {
--- a/trial/owner.go
+++ b/trial/owner.go
@@ -101,7 +101,7 @@
 }
 
 func (o *ownerLimiter) request(node, team int, done func(bool)) {
-	o.quotas[node].TakeOrWait(teams()[team].Name, func(granted bool, _ int64) { done(granted) })
+	o.quotas[node].TakeOrWait(teams()[team].Name, func(granted, _ bool, _ int64) { done(granted) })
 }
 
 func (o *ownerLimiter) tick(node int) { o.quotas[node].Tick() }
