A request whose calls crash servers deeper in the chain is refused

Cause: child calls had no fingerprint, so a crash at a service that callers don't ask themselves had no suspect. A call now has the fingerprint of its root request. Only a run of the root itself takes its crashes back: one harmless call says nothing about the others.

--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -195,7 +195,8 @@
 		switch {
 		case !complete:
 			g.crashes.requestEnded(t.Fingerprint, startedAt, ctx.Err() == nil)
-		case g.isSuccess(response):
+		case g.isSuccess(response) && !t.Call:
+			// One call that is harmless says nothing about the other calls of its root.
 			g.suspects.ResponseReceived(t.Fingerprint)
 		}
 		done(complete)
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -233,7 +233,8 @@
 }
 
 // setTrip sets the deadline of the request and its metadata for other nodes. A
-// child call inherits the root, grade and objective of the request that made it.
+// child call inherits the root, grade, objective and fingerprint of the request that
+// made it.
 func (e *Entry) setTrip(q *request) {
 	remaining := float64(q.route.TimeoutMillis)
 	if remaining <= 0 {
@@ -257,7 +258,7 @@
 	}
 	q.trip.Call = true
 	if p, ok := e.parents.Find(q.id); ok {
-		q.trip.Root, q.trip.Grade, q.trip.Retry = p.Root, p.Grade, p.Retry
+		q.trip.Root, q.trip.Grade, q.trip.Retry, q.trip.Fingerprint = p.Root, p.Grade, p.Retry, p.Fingerprint
 		// The objective of the root request orders the queues along the chain:
 		// a chain that began earlier is served first, so that it waits once and
 		// not at each of its calls.
--- a/outbnd/suspect.go
+++ b/outbnd/suspect.go
@@ -14,13 +14,12 @@
 )
 
 // checkCrashSuspect sets the fingerprint of a caller's request, and refuses a
-// request whose fingerprint is a crash suspect. Child calls get no fingerprint
-// of their own, as the requests that cause them have one.
+// request whose fingerprint is a crash suspect. Child calls have that of the request
+// that causes them, so that it's refused if they crash targets.
 func (e *Entry) checkCrashSuspect(q *request) (output.Output, bool) {
-	if q.trip.Call {
-		return output.Output{}, true
+	if !q.trip.Call {
+		q.trip.Fingerprint = fingerprint(q)
 	}
-	q.trip.Fingerprint = fingerprint(q)
 	if remaining, refused := e.suspects.Refuses(q.trip.Fingerprint); refused {
 		return output.Refused(reason.CrashSuspect, e.suspectDetail(q.trip.Fingerprint)).WithRetryAfter(remaining), false
 	}
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -32,7 +32,7 @@
 	// Origin is the service of the node whose entry received the request.
 	Origin string
 	// Fingerprint is the same for requests with the same method, path, caller and
-	// body. Child calls have none, as the requests that cause them have one.
+	// body. A child call has that of its root request.
 	Fingerprint string
 	// RateLimit is the rate limit, in requests per second, that the entry knows of
 	// the selected target; 0 if it knows none. RateLimitAgeMillis is how long ago
