--- a/card/card.go
+++ b/card/card.go
@@ -84,6 +84,10 @@
 	Refused map[string]int64 `cbor:"28,keyasint,omitempty"`
 	// StoreEra is how often the store was restored from a copy, as the node knows.
 	StoreEra int64 `cbor:"29,keyasint,omitempty"`
+	// StoreLost says that the node couldn't reach the store when it last tried.
+	StoreLost bool `cbor:"30,keyasint,omitempty"`
+	// Relays is how often the card was relayed on its way.
+	Relays int `cbor:"31,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
 }
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -224,8 +224,10 @@
 	}
 }
 
-func (p *Conns) dial(ctx context.Context, timeout time.Duration) (*conn, error) {
-	dialer := net.Dialer{
+// Dialer returns a dialer whose connections fail within some seconds once nothing comes
+// from the server any more, also while a response is awaited.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -237,7 +239,10 @@
 			})
 		},
 	}
-	opened, err := dialer.DialContext(ctx, "tcp", p.address)
+}
+
+func (p *Conns) dial(ctx context.Context, timeout time.Duration) (*conn, error) {
+	opened, err := Dialer(timeout).DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connecting")
 	}
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -119,6 +119,8 @@
 	// Crash is the ID of the crash, the same in the reports of several nodes.
 	Crash        string   `cbor:"1,keyasint"`
 	Fingerprints []string `cbor:"2,keyasint"`
+	// AgeMillis is how long before the report the crash happened.
+	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // New returns an empty set of suspects. Self identifies the node by its address
@@ -213,12 +215,17 @@
 	now := s.clock.Now()
 	s.record(r, s.self, now)
 	s.keep(rowKey(id, s.self), encodeRow(row{r.Crash, r.Fingerprints, now}))
+	s.publishReport(r)
+}
+
+// publishReport publishes a report to all nodes.
+func (s *Suspects) publishReport(r report) {
 	r.Fingerprints = r.Fingerprints[:min(len(r.Fingerprints), maxFactFingerprints)]
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		panic("crash: encoding a report: " + err.Error())
 	}
-	s.publish(crashKeyPrefix+s.self+"/"+id, now, value, BlockMillis)
+	s.publish(crashKeyPrefix+s.self+"/"+r.Crash, s.clock.Now(), value, BlockMillis)
 }
 
 // rowKey returns the key of the row in which a node keeps its report of a crash. IDs
@@ -236,9 +243,10 @@
 	return value
 }
 
-// OnRow takes in a row that any node has kept. It returns an error if the row is
-// malformed; such a row is ignored.
-func (s *Suspects) OnRow(key string, value []byte) error {
+// OnRow takes in a row that any node has kept. If tell is true and the crash isn't
+// known yet, it's reported to all nodes: they may not have read the row. OnRow returns
+// an error if the row is malformed; such a row is ignored.
+func (s *Suspects) OnRow(key string, value []byte, tell bool) error {
 	var r row
 	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.Wrap(err, "crash: row "+key)
@@ -247,8 +255,13 @@
 		return errors.Errorf("crash: row %s: it has no crash or too many fingerprints", key)
 	}
 	now := s.clock.Now()
-	if at := min(r.AtMillis, now); now-at < BlockMillis {
-		s.record(report{r.Crash, r.Fingerprints}, "the store", at)
+	at := min(r.AtMillis, now)
+	if now-at >= BlockMillis {
+		return nil
+	}
+	report := report{r.Crash, r.Fingerprints, now - at}
+	if s.record(report, "the store", at) && tell {
+		s.publishReport(report)
 	}
 	return nil
 }
@@ -340,20 +353,20 @@
 		if cbor.Unmarshal(value, &r) != nil || len(r.Fingerprints) > maxFingerprints {
 			return
 		}
-		s.record(r, strings.TrimSuffix(strings.TrimPrefix(key, crashKeyPrefix), "/"+r.Crash), s.clock.Now())
+		s.record(r, strings.TrimSuffix(strings.TrimPrefix(key, crashKeyPrefix), "/"+r.Crash), s.clock.Now()-max(r.AgeMillis, 0))
 	case strings.HasPrefix(key, harmlessKeyPrefix):
 		s.removeCrashes(strings.TrimPrefix(key, harmlessKeyPrefix), "a peer")
 	}
 }
 
 // record takes in the report from a node of a crash that happened at a moment of
-// this node's clock. Requests that were found harmless since are left out.
-func (s *Suspects) record(r report, from string, at int64) {
+// this node's clock, and reports whether anything of it is new. Requests that were
+// found harmless since are left out.
+func (s *Suspects) record(r report, from string, at int64) (recorded bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
 	s.removeExpired(now)
-	recorded := false
 	for _, f := range r.Fingerprints {
 		if harmlessAt, ok := s.harmlessAt[f]; ok && at <= harmlessAt {
 			continue
@@ -377,6 +390,7 @@
 		s.log.Info("crash: a target died", "Crash", r.Crash, "Suspects", len(r.Fingerprints), "From", from, "AgeMillis", now-at)
 	}
 	s.hasSuspects.Store(len(s.crashes) > 0 || len(s.blocked) > 0)
+	return recorded
 }
 
 // removeCrashes removes the crashes of a request that got a response, as that node
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -141,9 +141,9 @@
 	read := func() *crash.Suspects {
 		started := newNode(c, "started")
 		for key, value := range rows {
-			assert.NilError(t, started.OnRow(key, value))
+			assert.NilError(t, started.OnRow(key, value, false))
 			// Read again, the same crash counts once.
-			assert.NilError(t, started.OnRow(key, value))
+			assert.NilError(t, started.OnRow(key, value, false))
 		}
 		return started
 	}
@@ -166,8 +166,27 @@
 	c, _ := clock.NewManual(1000)
 	n := newNode(c, "node")
 	for _, value := range []string{"", "{", "[]", `{"Crash":7}`, `{"Fingerprints":["x"]}`, "\xff"} {
-		assert.Assert(t, n.OnRow("key", []byte(value)) != nil, value)
+		assert.Assert(t, n.OnRow("key", []byte(value), true) != nil, value)
 	}
 	refused, suspects := n.Refused()
 	assert.Equal(t, len(refused)+suspects, 0)
 }
+
+// After a restart of the whole fleet only few nodes read the rows.
+func TestNodeThatReadsRowsTellsTheOthers(t *testing.T) {
+	rows := make(map[string][]byte)
+	c, _ := clock.NewManual(1000)
+	reporter := crash.New(c, "reporter", slog.New(slog.DiscardHandler), func(string, int64, []byte, int64) {}, func(key string, value []byte) { rows[key] = value })
+	reporter.ReportTargetCrash("x/1", []string{"bad", "popular"})
+	reporter.ReportTargetCrash("y/1", []string{"bad", "popular"})
+	f := newFleet(3)
+	f.advance(500)
+	f.nodes[2].ReportCrash([]string{"popular"})
+	f.nodes[2].ResponseReceived("popular")
+	for key, value := range rows {
+		assert.NilError(t, f.nodes[0].OnRow(key, value, true))
+	}
+	assert.Equal(t, f.refusingNodes("bad"), 3)
+	// A run of it ended well after these crashes.
+	assert.Equal(t, f.refusingNodes("popular"), 0)
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -12,13 +12,14 @@
 
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
+	"bergamotloom.example/duty"
 	"bergamotloom.example/feed"
 	"bergamotloom.example/record"
 	"bergamotloom.example/watch"
 )
 
 // minWaitMillis is the min timeout of a long poll for a new configuration.
-const minWaitMillis = 4000
+const minWaitMillis = 6000
 
 // Follow follows the store and holds the configuration in force. It's safe for
 // many goroutines.
@@ -35,12 +36,18 @@
 	content []byte
 }
 
-// New returns a follower of the row with this key, which decode parses. IsWatcher
-// reports whether this node long-polls the store. No configuration is in force until
-// Run or Apply has found one.
-func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config), isWatcher func() bool) *Follow {
+// fleet tells about the node and its peers.
+type fleet interface {
+	Duty() duty.Duty
+	StoreLost() bool
+	PeerCount() int
+}
+
+// New returns a follower of the row with this key, which decode parses. No
+// configuration is in force until Run or Apply has found one.
+func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config), fleet fleet) *Follow {
 	f := &Follow{key: key, decode: decode, log: log, onChange: onChange}
-	f.watch = watch.New(store, table, minWaitMillis, c, log, isWatcher, f.applyRows)
+	f.watch = watch.New(store, table, minWaitMillis, c, log, fleet, func() bool { return f.Current() != nil }, f.applyRows)
 	return f
 }
 
@@ -89,7 +96,7 @@
 	f.watch.Run(ctx)
 }
 
-func (f *Follow) applyRows(rows []record.Record) {
+func (f *Follow) applyRows(rows []record.Record, _ bool) {
 	for _, r := range rows {
 		if r.Key != f.key || r.Value == nil {
 			continue
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -34,7 +34,7 @@
 	// response. The gate itself waits for its target's until shortly after the
 	// deadline, and its response, which needs some time to arrive, reports whether
 	// the request ran.
-	responseGraceMillis = 90
+	responseGraceMillis = 130
 	// maxDetailBytes bounds how much of the detail of a refusal is read.
 	maxDetailBytes = 4 << 10
 )
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -50,7 +50,7 @@
 	probeTimeout = 200 * time.Millisecond
 	// responseGraceMillis is how long after the deadline to wait for the target's
 	// response. A target stops its work at the deadline and says so.
-	responseGraceMillis = 50
+	responseGraceMillis = 80
 	// sampleSize is how many values a histogram keeps for its quantiles.
 	sampleSize = 1024
 )
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -24,19 +25,24 @@
 	advance func(millis float64)
 	nodes   []*Mesh
 	byPort  map[netip.AddrPort]*Mesh
+	random  *rand.Rand
+	// lossFraction is the fraction of the messages that get lost.
+	lossFraction float64
+	// sentCards counts the cards in all messages, by way.
+	sentCards [wayCount]int
 }
 
-func newLargeFleet(t *testing.T) *largeFleet {
+func newLargeFleet(t *testing.T, nodes, centres int) *largeFleet {
 	t.Helper()
-	f := &largeFleet{byPort: make(map[netip.AddrPort]*Mesh)}
+	f := &largeFleet{byPort: make(map[netip.AddrPort]*Mesh), random: rand.New(rand.NewPCG(1, 1))}
 	f.clock, f.advance = clock.NewManual(0)
-	for i := range largeNodes {
+	for i := range nodes {
 		m, err := New(card.Card{Peers: "127.0.0.1:0"}, f.clock, uint64(i), slog.New(slog.DiscardHandler), nil, nil, nil, nil, func(string) {})
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = m.socket.Close() })
 		at, err := netip.ParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+i))
 		assert.NilError(t, err)
-		m.self.Peers, m.self.Centre = at.String(), fmt.Sprint(i%largeCentres)
+		m.self.Peers, m.self.Centre = at.String(), fmt.Sprint(i%centres)
 		f.nodes = append(f.nodes, m)
 		f.byPort[at] = m
 	}
@@ -49,12 +55,17 @@
 }
 
 // sendAll lets every node send once; node i sends the card that own returns.
-func (f *largeFleet) sendAll(maxRelayed int, own func(i int) card.Card) {
+func (f *largeFleet) sendAll(busy bool, own func(i int) card.Card) {
 	for i, m := range f.nodes {
-		to, cards := m.message(own(i), fanout, maxRelayed)
-		for _, r := range to {
-			for _, c := range cards {
-				f.byPort[r.address].accept(c)
+		for _, g := range m.round(own(i), busy) {
+			for _, r := range g.to {
+				f.sentCards[r.way] += len(g.cards)
+				if f.random.Float64() < f.lossFraction {
+					continue
+				}
+				for _, c := range g.cards {
+					f.byPort[r.address].accept(c)
+				}
 			}
 		}
 	}
@@ -69,12 +80,20 @@
 
 // run lets the nodes send for a while. The targets of the first limited
 // nodes can't run all requests.
-func (f *largeFleet) run(intervalMillis float64, maxRelayed, limited int) cardCounts {
-	const durationMillis, staleMillis = 20_000, 300
+func (f *largeFleet) run(busy bool, limited int) cardCounts {
+	const staleMillis = 300
+	durationMillis := 20_000.0
+	if len(f.nodes) > largeNodes {
+		durationMillis = 6_000
+	}
+	intervalMillis := float64(idleIntervalMillis)
+	if busy {
+		intervalMillis = busyIntervalMillis
+	}
 	var s cardCounts
 	for at := 0.0; at < durationMillis; at += intervalMillis {
 		f.advance(intervalMillis)
-		f.sendAll(maxRelayed, func(i int) card.Card {
+		f.sendAll(busy, func(i int) card.Card {
 			if i < limited {
 				return card.Card{Target: "a", Cutoff: 4.5}
 			}
@@ -110,29 +129,58 @@
 func TestCardsInALargeFleetAreFresh(t *testing.T) {
 	const maxSilentFraction, maxStaleFraction = 0.003, 0.15
 	for _, c := range []struct {
-		name                string
-		intervalMillis      float64
-		maxRelayed, limited int
+		name           string
+		nodes, centres int
+		busy           bool
+		limited        int
+		lossFraction   float64
 	}{
-		{"idle", idleIntervalMillis, idleRelayedCards, 0},
-		{"busy", busyIntervalMillis, busyRelayedCards, 0},
-		{"one service is limited", busyIntervalMillis, busyRelayedCards, 5},
-		{"two services are limited", busyIntervalMillis, busyRelayedCards, 14},
-		{"most are limited", busyIntervalMillis, busyRelayedCards, 60},
+		{"idle", largeNodes, largeCentres, false, 0, 0},
+		{"busy", largeNodes, largeCentres, true, 0, 0},
+		{"one service is limited", largeNodes, largeCentres, true, 5, 0},
+		{"two services are limited", largeNodes, largeCentres, true, 14, 0},
+		{"most are limited", largeNodes, largeCentres, true, 60, 0},
+		{"small, busy", 16, 3, true, 0, 0},
+		{"small, one service is limited", 16, 3, true, 3, 0},
+		{"larger, idle", 200, 5, false, 0, 0},
+		{"larger, busy", 200, 5, true, 0, 0},
+		{"larger, one service is limited", 200, 5, true, 13, 0},
+		{"larger, one message in 20 is lost", 200, 5, true, 13, 0.05},
+		{"one data centre", 60, 1, true, 5, 0},
 	} {
-		s := newLargeFleet(t).run(c.intervalMillis, c.maxRelayed, c.limited)
+		f := newLargeFleet(t, c.nodes, c.centres)
+		f.lossFraction = c.lossFraction
+		s := f.run(c.busy, c.limited)
 		silent := float64(s.silent) / float64(s.pairs)
 		stale := float64(s.stale) / float64(max(s.limited, 1))
-		t.Logf("%s: %.4f silent, %.4f of the limited ones' cards stale", c.name, silent, stale)
+		t.Logf("%s: %.4f silent, %.4f of the limited ones' cards stale; cards sent: %v", c.name, silent, stale, f.sentCards)
 		assert.Check(t, silent <= maxSilentFraction, "%s: %.4f silent", c.name, silent)
 		assert.Check(t, c.limited > 14 || stale <= maxStaleFraction, "%s: %.4f stale", c.name, stale)
 	}
 }
 
-// A broadcast goes to all peers also in a fleet where other cards go to few.
-func TestBroadcastGoesToAllPeers(t *testing.T) {
-	f := newLargeFleet(t)
-	to, cards := f.nodes[0].message(card.Card{}, maxBroadcastPeers, 0)
-	assert.Equal(t, len(to), largeNodes-1)
-	assert.Equal(t, len(cards), 1)
+// A broadcast goes to the whole data centre, and to some nodes of each other one.
+func TestBroadcastGoesToAllDataCentres(t *testing.T) {
+	f := newLargeFleet(t, largeNodes, largeCentres)
+	messages := f.nodes[0].broadcast(card.Card{})
+	assert.Equal(t, len(messages), 1)
+	assert.Equal(t, len(messages[0].cards), 1)
+	counts := make(map[string]int)
+	for _, r := range messages[0].to {
+		counts[f.byPort[r.address].self.Centre]++
+	}
+	local := 0
+	for _, m := range f.nodes[1:] {
+		if m.self.Centre == f.nodes[0].self.Centre {
+			local++
+		}
+	}
+	assert.Equal(t, len(counts), largeCentres)
+	for centre, count := range counts {
+		if centre == f.nodes[0].self.Centre {
+			assert.Equal(t, count, local)
+		} else {
+			assert.Equal(t, count, remoteBroadcastPeers)
+		}
+	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,14 +1,16 @@
 // Package mesh exchanges the status cards of the nodes as datagrams.
 //
-// In a fleet of up to maxDirectPeers peers, each node sends its card to all
-// others. In a larger one it sends it to a few random peers and relays recent
-// cards of other nodes with it, with preference for those of targets that can't
-// run all requests. A change is sent to all at once. A lost datagram does no
-// harm, as the next card replaces it. A silent peer isn't confirmed dead;
-// instance selection only avoids it.
+// In its own data centre a node sends its card to all others, or in a larger one to a
+// few random ones, with recent cards of other nodes: first those that were relayed
+// least, so that each card spreads like a rumour. To another data centre it sends its
+// card alone, to one random node, from which it spreads there. So traffic between data
+// centres grows with the number of nodes, and not with its square. A lost datagram does
+// no harm, as the next card replaces it. A silent peer isn't confirmed dead; instance
+// selection only avoids it.
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -30,31 +32,31 @@
 	// of a node with and without work.
 	busyIntervalMillis = 100
 	idleIntervalMillis = 300
-	// With up to maxDirectPeers peers, each card is sent to all of them. In a
-	// larger fleet it's sent to fanout random peers, with cards of others.
-	maxDirectPeers = 20
-	fanout         = 8
-	// remoteFanout is the maximum of these that are in other data centres, unless
-	// the node's own has too few peers. Traffic between data centres is expensive.
-	remoteFanout = 3
-	// busyRelayedCards and idleRelayedCards are how many cards of others are sent
+	// A card goes to all peers in the node's own data centre if there are at most
+	// maxDirectPeers, and else to localFanout random ones.
+	maxDirectPeers = 10
+	localFanout    = 6
+	// busyRelayedCards and idleRelayedCards bound how many cards of others are sent
 	// along. Nodes with work send three times as often, so they need fewer.
-	busyRelayedCards = 6
-	idleRelayedCards = 16
-	// At least 1/limitedDivisor of the relayed cards are of limited targets, as
-	// long as there are enough recent ones.
-	limitedDivisor = 3
-	// Cards of others that are at most recentMillis old are relayed first. Most
-	// nodes have received older ones already.
-	recentMillis = 300
-	// maxBroadcastPeers bounds to how many peers a change is sent at once: a card
-	// may have some kilobytes, so more would be a burst of traffic.
-	maxBroadcastPeers = 128
+	busyRelayedCards = 22
+	idleRelayedCards = 48
+	// The card of a node with work goes to one node of each other data centre in every
+	// round, or in every second one and so on, so that all of these together get at most
+	// maxIncomingCards cards in a round: more would spread too slowly there. The cards of
+	// limited targets, and of nodes without work, whose rounds are longer, go in each.
+	maxIncomingCards = 40
+	// A change is sent at once to up to maxBroadcastPeers peers of the node's own data
+	// centre, and to remoteBroadcastPeers of each other one: a card may have some
+	// kilobytes, so more would be a burst of traffic.
+	maxBroadcastPeers    = 64
+	remoteBroadcastPeers = 3
 	// silentMillis is after how long without a new card a peer counts as silent.
 	// Silent peers are only probed.
 	silentMillis = 1500
-	// probeIntervalMillis is the time between two cards to silent peers.
+	// probeIntervalMillis is the time between two rounds of cards to maxProbes random
+	// silent peers.
 	probeIntervalMillis = 1000
+	maxProbes           = 4
 	// forgetMillis is after how long without a new card a peer is forgotten.
 	forgetMillis     = 600_000
 	maxDatagramBytes = 64 << 10
@@ -86,6 +88,9 @@
 	self     card.Card
 	peers    map[string]*peer
 	probedAt int64
+	// rounds counts the rounds. It begins with a random number, so that nodes that start
+	// together send to other data centres in different rounds.
+	rounds int
 	// sentBytes counts the bytes of the messages that were sent, by way.
 	sentBytes [wayCount]int64
 }
@@ -107,6 +112,12 @@
 	way     way
 }
 
+// message is one message to some peers. The first card is the node's own.
+type message struct {
+	to    []recipient
+	cards []card.Card
+}
+
 type peer struct {
 	address netip.AddrPort
 	card    card.Card
@@ -116,6 +127,8 @@
 	// was added.
 	lastSeenMillis int64
 	silent         bool
+	// sent counts how often this node has sent the card along.
+	sent int
 }
 
 // New returns a mesh that listens on the address of self, and sends once Run is
@@ -133,6 +146,7 @@
 		clock:    c,
 		log:      log,
 		socket:   socket,
+		rounds:   int(seed % maxIncomingCards),
 		random:   rand.New(rand.NewPCG(seed, seed+3)),
 		own:      own,
 		busy:     busy,
@@ -162,11 +176,12 @@
 func (m *Mesh) Run(ctx context.Context) {
 	go m.receive()
 	for ctx.Err() == nil {
-		intervalMillis, relayed := idleIntervalMillis, idleRelayedCards
-		if m.busy() {
-			intervalMillis, relayed = busyIntervalMillis, busyRelayedCards
+		busy := m.busy()
+		m.send(m.round(m.own(), busy))
+		intervalMillis := idleIntervalMillis
+		if busy {
+			intervalMillis = busyIntervalMillis
 		}
-		m.send(fanout, relayed)
 		pause.For(ctx, time.Duration(intervalMillis)*time.Millisecond)
 	}
 	// The last card tells the peers that the node stops.
@@ -174,27 +189,25 @@
 	_ = m.socket.Close()
 }
 
-// Broadcast sends the node's card to all peers at once, or to maxBroadcastPeers
-// of them if there are more.
+// Broadcast sends the node's card at once to its data centre, and to some nodes of each
+// other one.
 func (m *Mesh) Broadcast() {
-	m.send(maxBroadcastPeers, 0)
+	m.send(m.broadcast(m.own()))
 }
 
-// send sends the node's card to all peers that aren't silent. With more than
-// maxDirectPeers of these, it's sent to up to maxPeers random ones, with up to
-// maxRelayed cards of others.
-func (m *Mesh) send(maxPeers, maxRelayed int) {
-	to, cards := m.message(m.own(), maxPeers, maxRelayed)
-	encoded, err := card.Encode(cards)
-	if err != nil {
-		m.log.Error("mesh: encoding a card failed", "Error", err.Error())
-		return
-	}
-	for _, r := range to {
-		// A failed send is like a lost datagram.
-		_, _ = m.socket.WriteToUDPAddrPort(encoded, r.address)
+func (m *Mesh) send(messages []message) {
+	for _, g := range messages {
+		encoded, err := card.Encode(g.cards)
+		if err != nil {
+			m.log.Error("mesh: encoding a card failed", "Error", err.Error())
+			continue
+		}
+		for _, r := range g.to {
+			// A failed send is like a lost datagram.
+			_, _ = m.socket.WriteToUDPAddrPort(encoded, r.address)
+		}
+		m.countSent(g.to, len(encoded))
 	}
-	m.countSent(to, len(encoded))
 }
 
 func (m *Mesh) countSent(to []recipient, bytes int) {
@@ -214,60 +227,173 @@
 	return m.sentBytes[toCentre], m.sentBytes[toRemote], m.sentBytes[toSilent]
 }
 
-// message returns the recipients of the next message, and the cards in it.
-func (m *Mesh) message(own card.Card, maxPeers, maxRelayed int) ([]recipient, []card.Card) {
+// round returns the messages of one round: to the node's own data centre, to others
+// if a digest is due there, and to peers that are silent.
+func (m *Mesh) round(own card.Card, busy bool) []message {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.self.Sequence++
-	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
-	own.Centre, own.Hops = m.self.Centre, m.self.Hops
 	now := m.clock.Now()
+	own = m.identify(own)
 	probes, live := m.checkPeers(now)
-	cards := []card.Card{own}
-	if len(live) > maxDirectPeers {
-		m.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		cards = append(cards, cardsToRelay(live, maxRelayed, now)...)
-		live = m.choosePeers(live, maxPeers)
+	local, remote := m.byCentre(live)
+	messages := []message{{to: unheard(probes), cards: []card.Card{own}}}
+
+	relayed := idleRelayedCards
+	if busy {
+		relayed = busyRelayedCards
 	}
-	to := make([]recipient, 0, len(probes)+len(live))
-	for _, address := range probes {
-		to = append(to, recipient{address, toSilent})
+	to := local
+	if len(to) > maxDirectPeers {
+		to = m.sample(to, localFanout)
 	}
-	for _, p := range live {
-		if p.card.Centre == m.self.Centre {
-			to = append(to, recipient{p.address, toCentre})
-		} else {
-			to = append(to, recipient{p.address, toRemote})
+	messages = append(messages, message{recipients(to, toCentre), m.withinBounds(own, m.toRelay(live, len(local), relayed))})
+
+	m.rounds++
+	everyRounds := (len(live) - len(local) + maxIncomingCards - 1) / maxIncomingCards
+	if !busy || own.Limited() || m.rounds%max(everyRounds, 1) == 0 {
+		for _, peers := range remote {
+			messages = append(messages, message{recipients(m.sample(peers, 1), toRemote), []card.Card{own}})
 		}
 	}
-	return to, cards
+	return messages
 }
 
-// choosePeers returns up to count of the peers. At most remoteFanout of them are
-// in other data centres, unless there are too few in the node's own.
-func (m *Mesh) choosePeers(live []*peer, count int) []*peer {
-	if count >= len(live) {
-		return live
+// broadcast returns the messages that tell of a change.
+func (m *Mesh) broadcast(own card.Card) []message {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	own = m.identify(own)
+	probes, live := m.checkPeers(m.clock.Now())
+	local, remote := m.byCentre(live)
+	g := message{append(unheard(probes), recipients(m.sample(local, maxBroadcastPeers), toCentre)...), []card.Card{own}}
+	for _, peers := range remote {
+		g.to = append(g.to, recipients(m.sample(peers, remoteBroadcastPeers), toRemote)...)
 	}
-	var local, remote []*peer
+	return []message{g}
+}
+
+// identify returns the card with the node's identity and the next sequence number. The
+// mutex must be held.
+func (m *Mesh) identify(own card.Card) card.Card {
+	m.self.Sequence++
+	own.Peers, own.Incarnation, own.Sequence = m.self.Peers, m.self.Incarnation, m.self.Sequence
+	own.Centre, own.Hops = m.self.Centre, m.self.Hops
+	return own
+}
+
+// byCentre divides peers into those of the node's own data centre, and those of each
+// other one.
+func (m *Mesh) byCentre(live []*peer) (local []*peer, remote map[string][]*peer) {
+	remote = make(map[string][]*peer)
 	for _, p := range live {
 		if p.card.Centre == m.self.Centre {
 			local = append(local, p)
 		} else {
-			remote = append(remote, p)
+			remote[p.card.Centre] = append(remote[p.card.Centre], p)
 		}
 	}
-	localCount := min(len(local), max(count-remoteFanout, count-len(remote)))
-	return slices.Concat(local[:localCount], remote[:min(count-localCount, len(remote))])
+	return local, remote
 }
 
-// checkPeers returns the peers that aren't silent, and the addresses of others
-// to probe. It forgets peers that were silent for too long.
-func (m *Mesh) checkPeers(now int64) (probes []netip.AddrPort, live []*peer) {
-	probeDue := now-m.probedAt >= probeIntervalMillis
-	if probeDue {
-		m.probedAt = now
+// sample returns up to count of the peers at random. It reorders the slice.
+func (m *Mesh) sample(peers []*peer, count int) []*peer {
+	m.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
+
+// toRelay returns up to count peers whose cards are to be sent along, and counts them
+// as sent: those that this node hasn't sent along since they came, and that haven't
+// spread in the data centre yet. Those that have spread least come first, those of
+// limited targets one hop earlier than others, as entries need their thresholds soon.
+// One more is chosen at random, so that nodes which have just started learn of all
+// others.
+func (m *Mesh) toRelay(live []*peer, localCount, count int) []*peer {
+	var chosen []*peer
+	for _, p := range live {
+		if p.sent == 0 && !m.hasSpread(p, localCount) {
+			chosen = append(chosen, p)
+		}
+	}
+	m.random.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	urgency := func(p *peer) int {
+		if p.card.Limited() {
+			return m.hops(p) - 1
+		}
+		return m.hops(p)
+	}
+	slices.SortStableFunc(chosen, func(a, b *peer) int { return cmp.Compare(urgency(a), urgency(b)) })
+	chosen = chosen[:min(count, len(chosen))]
+	for _, p := range chosen {
+		p.sent++
+	}
+	if len(live) > 0 {
+		chosen = append(chosen, live[m.random.IntN(len(live))])
+	}
+	return chosen
+}
+
+// hops returns by how many nodes of this data centre the card of a peer was sent on its
+// way here. Cards from other data centres begin here with one node.
+func (m *Mesh) hops(p *peer) int {
+	if p.card.Centre == m.self.Centre {
+		return p.card.Relays + 1
+	}
+	return p.card.Relays
+}
+
+// hasSpread reports whether the nodes of this data centre, which has localCount others,
+// may all have had the card of a peer when it came here.
+func (m *Mesh) hasSpread(p *peer, localCount int) bool {
+	if localCount <= maxDirectPeers {
+		return m.hops(p) > 0
 	}
+	known := 1
+	for range m.hops(p) {
+		known *= localFanout
+	}
+	return known > localCount
+}
+
+// withinBounds returns the node's own card with those of peers, without facts beyond
+// maxRelayedFactBytes.
+func (m *Mesh) withinBounds(own card.Card, along []*peer) []card.Card {
+	cards := append(make([]card.Card, 0, len(along)+1), own)
+	factBytes := 0
+	for _, p := range along {
+		c := p.card
+		c.Relays++
+		for _, r := range c.Facts {
+			factBytes += len(r.Key) + len(r.Value)
+		}
+		if factBytes > maxRelayedFactBytes {
+			c.Facts = nil
+		}
+		cards = append(cards, c)
+	}
+	return cards
+}
+
+func recipients(peers []*peer, w way) []recipient {
+	to := make([]recipient, 0, len(peers))
+	for _, p := range peers {
+		to = append(to, recipient{p.address, w})
+	}
+	return to
+}
+
+func unheard(probes []netip.AddrPort) []recipient {
+	to := make([]recipient, 0, len(probes))
+	for _, address := range probes {
+		to = append(to, recipient{address, toSilent})
+	}
+	return to
+}
+
+// checkPeers returns the peers that aren't silent, and the addresses of others to
+// probe: those that may just have started, and once in probeIntervalMillis some of the
+// silent ones. It forgets peers that were silent for too long.
+func (m *Mesh) checkPeers(now int64) (probes []netip.AddrPort, live []*peer) {
+	var silentPeers []*peer
 	for id, p := range m.peers {
 		silent := now-p.lastSeenMillis > silentMillis
 		switch {
@@ -280,47 +406,21 @@
 		}
 		p.silent = silent
 		switch {
-		case p.hasCard && !silent:
+		case silent:
+			silentPeers = append(silentPeers, p)
+		case p.hasCard:
 			live = append(live, p)
-		case probeDue || !p.hasCard && !silent:
-			probes = append(probes, p.address)
-		}
-	}
-	return probes, live
-}
-
-// cardsToRelay returns up to count cards of peers, recent ones first. Of the
-// recent cards, those of limited targets are relayed in proportion to their
-// number, but at least count/limitedDivisor of them, as entries need their
-// thresholds soon.
-func cardsToRelay(live []*peer, count int, now int64) []card.Card {
-	var limited, recent, older []*peer
-	for _, p := range live {
-		switch {
-		case now-p.lastSeenMillis > recentMillis:
-			older = append(older, p)
-		case p.card.Limited():
-			limited = append(limited, p)
 		default:
-			recent = append(recent, p)
+			probes = append(probes, p.address)
 		}
 	}
-	proportionalCount := count * len(limited) / max(len(limited)+len(recent), 1)
-	limitedCount := min(max(count/limitedDivisor, proportionalCount), len(limited))
-	all := slices.Concat(limited[:limitedCount], recent, older)
-	var cards []card.Card
-	factBytes := 0
-	for _, p := range all[:min(count, len(all))] {
-		c := p.card
-		for _, r := range c.Facts {
-			factBytes += len(r.Key) + len(r.Value)
-		}
-		if factBytes > maxRelayedFactBytes {
-			c.Facts = nil
+	if now-m.probedAt >= probeIntervalMillis {
+		m.probedAt = now
+		for _, p := range m.sample(silentPeers, maxProbes) {
+			probes = append(probes, p.address)
 		}
-		cards = append(cards, c)
 	}
-	return cards
+	return probes, live
 }
 
 func (m *Mesh) receive() {
@@ -437,6 +537,7 @@
 		m.log.Info("mesh: peer is known", "Peer", c.Peers, "Incarnation", c.Incarnation, "Service", c.Service, "Target", c.Target)
 	}
 	p.card, p.hasCard, p.lastSeenMillis = c, true, m.clock.Now()
+	p.sent = 0
 	return true
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -4,8 +4,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"bergamotloom.example/cursor"
@@ -59,6 +64,7 @@
 type Meter struct {
 	store    feed.Feed
 	registry metrics.Registry
+	lost     atomic.Bool
 }
 
 // New returns a meter of the store, with its counters in the registry.
@@ -73,16 +79,25 @@
 	}
 	name := table + "." + call + "." + reason
 	metrics.GetOrRegisterCounter(CallsPrefix+name, m.registry).Inc(1)
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil, errors.Is(err, feed.ErrHistoryDropped), errors.Is(err, feed.ErrChanged), errors.Is(err, feed.ErrRestored):
+		m.lost.Store(false)
+	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		m.lost.Store(true)
 		metrics.GetOrRegisterCounter(FailedPrefix+name, m.registry).Inc(1)
 	}
 }
 
-// Rows is that of the store.
-func (m *Meter) Rows(ctx context.Context, table string) ([]record.Record, cursor.Cursor, error) {
-	rows, at, err := m.store.Rows(ctx, table)
+// Lost reports whether the store couldn't be reached when it was last called.
+func (m *Meter) Lost() bool {
+	return m.lost.Load()
+}
+
+// Page is that of the store.
+func (m *Meter) Page(ctx context.Context, table, from string, limit int) (rows []record.Record, at cursor.Cursor, more bool, err error) {
+	rows, at, more, err = m.store.Page(ctx, table, from, limit)
 	m.count(ctx, table, "Rows", err)
-	return rows, at, err
+	return rows, at, more, err
 }
 
 // Changes is that of the store.
@@ -92,10 +107,10 @@
 	return rows, at, err
 }
 
-// Put is that of the store.
-func (m *Meter) Put(ctx context.Context, table, key string, value []byte) (era int64, err error) {
-	era, err = m.store.Put(ctx, table, key, value)
-	m.count(ctx, table, "Put", err)
+// Put is that of the store. It's one call, counted under the names of all tables.
+func (m *Meter) Put(ctx context.Context, rows map[string]record.Record) (era int64, err error) {
+	era, err = m.store.Put(ctx, rows)
+	m.count(ctx, strings.Join(slices.Sorted(maps.Keys(rows)), "+"), "Put", err)
 	return era, err
 }
 
--- a/outbnd/exit.go
+++ b/outbnd/exit.go
@@ -1,13 +1,20 @@
 package outbnd
 
 import (
+	"math/rand/v2"
+
 	"bergamotloom.example/output"
 	"bergamotloom.example/reason"
 )
 
-// exitMarginMillis is the time between the last deadline that a stopping node
-// accepts and its exit: a target that stops at its deadline says so in a response.
-const exitMarginMillis = 250
+const (
+	// exitMarginMillis is the time between the last deadline that a stopping node
+	// accepts and its exit: a target that stops at its deadline says so in a response.
+	exitMarginMillis = 250
+	// exitSpreadMillis spreads the deadlines that are moved to an earlier time, so that
+	// not all of these responses come at the same moment.
+	exitSpreadMillis = 150
+)
 
 // SetExitTime sets the time at which the stopping node exits, in milliseconds of
 // the node's clock. From that time on, and shortly before it, all requests are
@@ -34,7 +41,8 @@
 	if remaining < neededMillis {
 		return output.Refused(reason.Leaving, "the node ends before the request's time is over"), false
 	}
-	q.deadline = lastDeadline
+	remaining -= rand.Float64() * min(exitSpreadMillis, remaining-neededMillis)
+	q.deadline = q.startedAt + remaining
 	q.trip.LeftMillis = remaining
 	return output.Output{}, true
 }
--- a/sidecr/crashes.go
+++ b/sidecr/crashes.go
@@ -6,6 +6,7 @@
 
 	"bergamotloom.example/crash"
 	"bergamotloom.example/cursor"
+	"bergamotloom.example/feed"
 	"bergamotloom.example/meter"
 	"bergamotloom.example/record"
 )
@@ -16,7 +17,7 @@
 	crashesTable = "Crashes"
 	// crashesWaitMillis is the min timeout of a long poll of that table, which
 	// changes rarely. Cards tell the same sooner, as long as peers hear each other.
-	crashesWaitMillis = 12_000
+	crashesWaitMillis = 15_000
 	// factMillis is how long a card carries a fact. Nodes that start later read the
 	// rows, and the cards of all nodes name the requests that they refuse.
 	factMillis = 10_000
@@ -34,19 +35,25 @@
 		ctx, cancel := context.WithTimeout(n.requests, crash.BlockMillis*time.Millisecond)
 		defer cancel()
 		n.retry(ctx, meter.Crash, "recording a crash", func(ctx context.Context) error {
-			_, err := n.store.Put(ctx, crashesTable, key, value)
-			return err
+			return n.writeCrash(ctx, key, value)
 		})
 	}()
 }
 
-// learnCrashes takes in rows of the table of crashes.
-func (n *Sidecar) learnCrashes(rows []record.Record) {
+func (n *Sidecar) writeCrash(ctx context.Context, key string, value []byte) error {
+	_, err := n.store.Put(ctx, map[string]record.Record{crashesTable: {Key: key, Value: value}})
+	return err
+}
+
+// learnCrashes takes in rows of the table of crashes. If they're all rows, and not
+// those that have just been written, it tells the peers: after a restart of the whole
+// fleet only the nodes that watch the store read them.
+func (n *Sidecar) learnCrashes(rows []record.Record, all bool) {
 	for _, r := range rows {
 		if r.Value == nil {
 			continue
 		}
-		if err := n.suspects.OnRow(r.Key, r.Value); err != nil {
+		if err := n.suspects.OnRow(r.Key, r.Value, all); err != nil {
 			n.log.Warn("node: ignoring the malformed row of a crash", "Error", err.Error())
 		}
 	}
@@ -54,7 +61,7 @@
 
 // removeExpiredCrashes removes the rows of crashes that aren't needed any more.
 func (n *Sidecar) removeExpiredCrashes(ctx context.Context) error {
-	rows, at, err := n.store.Rows(ctx, crashesTable)
+	rows, at, err := feed.Rows(ctx, n.store, crashesTable)
 	if err != nil {
 		return err
 	}
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -12,73 +12,101 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/card"
+	"bergamotloom.example/duty"
+	"bergamotloom.example/feed"
 	"bergamotloom.example/meter"
+	"bergamotloom.example/muster"
 	"bergamotloom.example/pause"
+	"bergamotloom.example/record"
 )
 
 const (
 	// nodesTable holds a row for each node, by the address that peers use.
 	nodesTable = "Nodes"
 	// leftTable holds, by the node's address, the node's last target that ended
-	// as planned.
+	// as planned. Nodes of earlier builds read it when they start.
 	leftTable  = "Left"
 	configPath = "/loom/config"
 	// minRetryDelay and maxRetryDelay bound the delay between two attempts to
 	// reach the store.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
-	// settleDelay is the delay after which the nodes are read a second time, as
-	// others may have started in the meantime.
-	settleDelay = 1500 * time.Millisecond
-	// peerCheckInterval is the min time between two checks whether most peers
-	// are silent; the max is twice that.
-	peerCheckInterval = 15 * time.Second
+	// musterDelay is the time between two checks whether the node has to read or write
+	// the table of nodes.
+	musterDelay = 100 * time.Millisecond
+	// dutyDelayMillis is how long after its start a node does nothing for the fleet, as
+	// it doesn't know its peers yet.
+	dutyDelayMillis = 1000
 	// recordLeaveTimeout bounds how long a leaving target waits for its
 	// acknowledgement while the store records that it leaves.
 	recordLeaveTimeout = 600 * time.Millisecond
-	// watcherCount is the number of nodes that long-poll the store for changes.
-	// The store may refuse some of these calls.
-	watcherCount = 16
 	// versionCheckMillis is the time between two comparisons with the peers'
 	// configuration versions.
 	versionCheckMillis = 100
+	// localSourceMillis is how long a node waits for a peer in its own data centre to
+	// have a new configuration; some wait for twice as long.
+	localSourceMillis = 200
 	// fetchTimeout and maxConfigBytes limit the fetch of a configuration from a
 	// peer.
 	fetchTimeout   = time.Second
 	maxConfigBytes = 8 << 20
 )
 
-// runMembership writes the node's row to the store and reads the other nodes
-// from it. Then it renews the row, removes stale ones, and reads the nodes
-// again if most peers are silent, until the context ends.
+// runMembership writes the node's row to the store and reads other nodes from it, as
+// package muster decides, until the context ends.
 func (n *Sidecar) runMembership(ctx context.Context) {
 	n.addSeeds()
-	n.retry(ctx, meter.Start, "writing the node's row", n.writeNode)
-	// Before a restart, the target may have announced that it leaves.
-	if !n.params.FirstStart {
-		n.retry(ctx, meter.Start, "reading the target that left", n.readLeft)
-		n.hasReadLeft.Store(true)
-	}
-	n.retry(ctx, meter.Start, "reading the nodes", n.readNodes)
-	pause.For(ctx, settleDelay)
-	n.retry(ctx, meter.Start, "reading the nodes", n.readNodes)
-	renewAt := n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
+	m := muster.New(n.params.FirstStart, n.clock.Now(), rand.Uint64())
+	hasStarted := false
 	for ctx.Err() == nil {
-		pause.For(ctx, peerCheckInterval+rand.N(peerCheckInterval))
-		if n.clock.Now() >= renewAt {
-			renewAt = n.clock.Now() + renewMillis + rand.Int64N(renewMillis)
-			n.retry(ctx, meter.Renewal, "writing the node's row", n.writeNode)
-			if n.isWatcher() {
+		known, heard := n.mesh.PeerCounts()
+		step := m.Next(n.clock.Now(), known, heard)
+		switch step {
+		case muster.Wait:
+			hasStarted = hasStarted || n.clock.Since(n.startedMillis) > dutyDelayMillis
+			pause.For(ctx, musterDelay)
+		case muster.Write:
+			n.retry(ctx, reasonAfterStart(hasStarted, meter.Renewal), "writing the node's row", n.writeNode)
+			m.RowWritten(n.clock.Now())
+			if hasStarted && n.Duty().Watches {
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeStale)
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeExpiredCrashes)
 			}
+		case muster.ReadNear:
+			n.retry(ctx, meter.Start, "reading the nodes", func(ctx context.Context) error { return n.readNear(ctx, m) })
+		case muster.ReadAll:
+			n.retry(ctx, reasonAfterStart(hasStarted, meter.Silence), "reading the nodes", func(ctx context.Context) error { return n.readNodes(ctx, m) })
 		}
-		if peers, live := n.mesh.PeerCounts(); live*2 < peers {
-			n.retry(ctx, meter.Silence, "reading the nodes", n.readNodes)
-		}
 	}
 }
 
+// reasonAfterStart returns for counters why the table of nodes is read or written.
+func reasonAfterStart(hasStarted bool, reason string) string {
+	if hasStarted {
+		return reason
+	}
+	return meter.Start
+}
+
+// Duty returns what this node does for the fleet.
+func (n *Sidecar) Duty() duty.Duty {
+	if n.stopping.Load() || n.clock.Since(n.startedMillis) < dutyDelayMillis {
+		return duty.Duty{}
+	}
+	return duty.Of(n.params.Peers, n.StoreLost(), n.mesh.Cards())
+}
+
+// StoreLost reports whether this node couldn't reach the store when it last tried.
+func (n *Sidecar) StoreLost() bool {
+	return n.meter.Lost()
+}
+
+// PeerCount returns the number of peers.
+func (n *Sidecar) PeerCount() int {
+	known, _ := n.mesh.PeerCounts()
+	return known
+}
+
 // addSeeds adds the seeds to the mesh. They're given by their control ports;
 // all nodes of a fleet have the same ports.
 func (n *Sidecar) addSeeds() {
@@ -97,39 +125,90 @@
 	}
 }
 
-// readNodes adds the nodes in the store to the mesh. It writes this node's own row
-// again if it's gone.
-func (n *Sidecar) readNodes(ctx context.Context) error {
-	rows, _, err := n.store.Rows(ctx, nodesTable)
+// readNear adds the nodes of the rows next to this node's own one to the mesh, and
+// takes in what that one tells. Near the end of the table it begins anew.
+func (n *Sidecar) readNear(ctx context.Context, m *muster.Muster) error {
+	rows, at, _, err := n.store.Page(ctx, nodesTable, n.params.Peers, muster.NearRows)
 	if err != nil {
 		return err
 	}
-	hasOwn := false
-	for _, r := range rows {
-		n.mesh.Add(r.Key)
-		hasOwn = hasOwn || r.Key == n.params.Peers
+	if len(rows) < muster.NearRows/2 {
+		first, _, _, err := n.store.Page(ctx, nodesTable, "", muster.NearRows)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, first...)
 	}
-	if hasOwn {
-		return nil
+	own, others := n.addNodes(rows)
+	if err := n.readLeft(ctx, own, at.Era); err != nil {
+		return err
+	}
+	if own.isFresh(n.clock.Now()) {
+		m.RowFound(n.clock.Now())
+		n.writtenEra.CompareAndSwap(-1, at.Era)
+		n.nodeEra.Store(at.Era)
+	}
+	m.NodesRead(n.clock.Now(), others, false)
+	return nil
+}
+
+// readNodes adds all nodes in the store to the mesh.
+func (n *Sidecar) readNodes(ctx context.Context, m *muster.Muster) error {
+	rows, _, err := feed.Rows(ctx, n.store, nodesTable)
+	if err != nil {
+		return err
 	}
-	return n.writeNode(ctx)
+	own, others := n.addNodes(rows)
+	if !own.isFresh(n.clock.Now()) {
+		m.RowMissing()
+	}
+	m.NodesRead(n.clock.Now(), others, true)
+	return nil
 }
 
-func (n *Sidecar) readLeft(ctx context.Context) error {
-	rows, at, err := n.store.Rows(ctx, leftTable)
+// addNodes adds the nodes of these rows to the mesh. It returns this node's own row,
+// which is empty if there's none, and the number of the others.
+func (n *Sidecar) addNodes(rows []record.Record) (own nodeRow, others int) {
 	for _, r := range rows {
 		if r.Key != n.params.Peers {
+			n.mesh.Add(r.Key)
+			others++
 			continue
 		}
-		var row leftRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			n.log.Warn("node: the row of the target that left is malformed", "Row", string(r.Value), "Error", err.Error())
-			continue
+		if err := json.Unmarshal(r.Value, &own); err != nil {
+			n.log.Warn("node: this node's own row is malformed", "Row", string(r.Value), "Error", err.Error())
+			own = nodeRow{}
+		}
+	}
+	return own, others
+}
+
+// readLeft takes in which target left beside an earlier process of this node. Own is
+// the node's row; if an earlier build has written it, a row of its own tells that.
+func (n *Sidecar) readLeft(ctx context.Context, own nodeRow, era int64) error {
+	if n.params.FirstStart {
+		return nil
+	}
+	if !own.TellsLeft {
+		rows, at, _, err := n.store.Page(ctx, leftTable, n.params.Peers, 1)
+		if err != nil {
+			return err
+		}
+		era = at.Era
+		if len(rows) > 0 && rows[0].Key == n.params.Peers {
+			var left leftRow
+			if err := json.Unmarshal(rows[0].Value, &left); err != nil {
+				n.log.Warn("node: the row of the target that left is malformed", "Row", string(rows[0].Value), "Error", err.Error())
+			}
+			own.LeftTarget, own.LeftBornMillis = left.Target, left.BornMillis
 		}
-		n.gate.MarkLeft(row.Target, row.BornMillis)
-		n.leftEra.Store(at.Era)
 	}
-	return err
+	if own.LeftTarget != "" {
+		n.gate.MarkLeft(own.LeftTarget, own.LeftBornMillis)
+		n.leftEra.Store(era)
+	}
+	n.hasReadLeft.Store(true)
+	return nil
 }
 
 // recordLeave records in the store that a target leaves, so that this node
@@ -151,22 +230,6 @@
 	}
 }
 
-// writeLeft writes the row of the target that left, unless another one has left
-// since.
-func (n *Sidecar) writeLeft(ctx context.Context, target string) error {
-	if n.gate.LastLeft() != target || target == "" {
-		return nil
-	}
-	era, err := n.store.Put(ctx, leftTable, n.params.Peers, encodeRow(leftRow{target, n.gate.StartMillis(target)}))
-	if err != nil {
-		return err
-	}
-	if before := n.leftEra.Swap(era); before >= 0 && before != era {
-		n.countRewritten(leftTable, n.params.Peers)
-	}
-	return nil
-}
-
 // retry repeats calls to the store, which have this reason, with an exponential delay
 // until they succeed. Purpose says for logs what they're for.
 func (n *Sidecar) retry(ctx context.Context, reason, purpose string, work func(context.Context) error) {
@@ -191,58 +254,57 @@
 	}
 }
 
-// isWatcher reports whether this node long-polls the store for changes. It's
-// true for the nodes with the lowest address hashes, and for each node to which
-// more than half of its peers are silent.
-func (n *Sidecar) isWatcher() bool {
-	peers, live := n.mesh.PeerCounts()
-	if peers < watcherCount || live*2 < peers {
-		return true
-	}
-	own := card.Hash(n.params.Peers)
-	lower := 0
-	for _, c := range n.mesh.Cards() {
-		if card.Hash(c.Peers) < own {
-			lower++
-		}
-	}
-	return lower < watcherCount
-}
-
-// newestPeer returns the card of a random peer with the newest configuration; ok is
-// false if no peer has a newer one than this node.
+// newestPeer returns the card of a random peer with the newest configuration, in the
+// node's own data centre if there is one; ok is false if no peer has a newer one than
+// this node.
 func (n *Sidecar) newestPeer() (peer card.Card, ok bool) {
 	newest := n.follow.Version()
-	var peers []card.Card
+	var local, remote []card.Card
 	for _, c := range n.mesh.Cards() {
-		switch {
-		case c.Version > newest:
-			newest, peers = c.Version, []card.Card{c}
-		case c.Version == newest && len(peers) > 0:
-			peers = append(peers, c)
+		if c.Version < newest || c.Version == n.follow.Version() {
+			continue
+		}
+		if c.Version > newest {
+			newest, local, remote = c.Version, nil, nil
+		}
+		if c.Centre == n.params.Centre {
+			local = append(local, c)
+		} else {
+			remote = append(remote, c)
 		}
 	}
-	if len(peers) == 0 {
-		return card.Card{}, false
+	switch {
+	case len(local) > 0:
+		return local[rand.IntN(len(local))], true
+	case len(remote) > 0:
+		return remote[rand.IntN(len(remote))], true
 	}
-	return peers[rand.IntN(len(peers))], true
+	return card.Card{}, false
 }
 
 // catchUp fetches the configuration from a peer whenever one has a newer
 // version.
 func (n *Sidecar) catchUp(ctx context.Context) {
 	client := &http.Client{Timeout: fetchTimeout}
-	checksBehind := 0
+	// behindMillis is when the node found that it's behind, 0 if it isn't.
+	behindMillis, waitMillis := int64(0), int64(0)
 	for ctx.Err() == nil {
 		pause.For(ctx, versionCheckMillis*time.Millisecond)
 		peer, ok := n.newestPeer()
 		if !ok {
-			checksBehind = 0
+			behindMillis = 0
 			continue
 		}
-		// A watcher waits for one more check, as in most cases the store is
-		// about to send the same change.
-		if checksBehind++; checksBehind < 2 && n.isWatcher() {
+		if behindMillis == 0 {
+			behindMillis, waitMillis = n.clock.Now(), localSourceMillis+rand.Int64N(localSourceMillis)
+			// In most cases the store is about to send the same change to a watcher.
+			if n.Duty().Watches {
+				continue
+			}
+		}
+		// Few nodes of a data centre fetch it from another one, and the others from
+		// them. A node that has none at all doesn't wait.
+		if peer.Centre != n.params.Centre && n.follow.Current() != nil && n.clock.Since(behindMillis) < waitMillis {
 			continue
 		}
 		if err := n.fetchConfig(ctx, client, peer); err != nil {
--- a/sidecr/restore.go
+++ b/sidecr/restore.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"bergamotloom.example/card"
+	"bergamotloom.example/feed"
 	"bergamotloom.example/meter"
+	"bergamotloom.example/muster"
 	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
 )
@@ -24,25 +26,19 @@
 )
 
 // watchEra writes the node's rows anew whenever the store was restored from a copy,
-// until the context ends.
+// until the context ends. Nodes that don't call the store learn that from their peers.
 func (n *Sidecar) watchEra(ctx context.Context) {
-	var peersEra int64
 	for ctx.Err() == nil {
 		pause.For(ctx, eraCheckInterval)
 		written := n.writtenEra.Load()
 		if written < 0 {
 			continue
 		}
-		if era := n.store.Era(); era > written {
+		if era := max(n.store.Era(), n.newestPeerEra()); era > written {
 			n.log.Warn("node: the store was restored from a copy, writing rows anew", "Era", era, "EraBefore", written)
 			n.writeRowsAnew(ctx)
 			n.writtenEra.Store(era)
 		}
-		// A node that doesn't watch the store asks it once a peer knows a later era.
-		if era := n.newestPeerEra(); era > max(peersEra, n.store.Era()) {
-			peersEra = era
-			n.retry(ctx, meter.Restore, "reading the nodes", n.readNodes)
-		}
 	}
 }
 
@@ -55,28 +51,48 @@
 	return era
 }
 
-// writeRowsAnew writes the rows for which this node stands, and those of crashes that
-// nobody else has written, and reads the other nodes.
+// writeRowsAnew writes the rows for which this node stands. The nodes that watch the
+// store also write those of crashes that nobody else has written.
 func (n *Sidecar) writeRowsAnew(ctx context.Context) {
 	peers, _ := n.mesh.PeerCounts()
 	pause.For(ctx, rand.N(time.Duration(peers+1)*time.Second/rewritesPerSecond))
-	// The target's row first: a node that restarts needs it.
-	n.retry(ctx, meter.Restore, "writing the target that left anew", func(ctx context.Context) error { return n.writeLeft(ctx, n.gate.LastLeft()) })
-	n.retry(ctx, meter.Restore, "writing the node's row anew", n.writeNode)
-	n.retry(ctx, meter.Restore, "writing crashes anew", n.writeCrashesAnew)
+	n.retry(ctx, meter.Restore, "writing the node's rows anew", n.writeOwnRows)
+	if n.Duty().Watches {
+		n.retry(ctx, meter.Restore, "writing crashes anew", n.writeCrashesAnew)
+	}
 	pause.For(ctx, verifyDelay)
-	n.retry(ctx, meter.Restore, "reading the nodes", n.readNodes)
+	n.retry(ctx, meter.Restore, "reading the node's row", n.verifyNode)
+}
+
+// writeOwnRows writes the node's row, and that of its last target that left.
+func (n *Sidecar) writeOwnRows(ctx context.Context) error {
+	if left := n.gate.LastLeft(); left != "" {
+		return n.writeLeft(ctx, left)
+	}
+	return n.writeNode(ctx)
+}
+
+// verifyNode writes the node's row again if it's gone.
+func (n *Sidecar) verifyNode(ctx context.Context) error {
+	rows, _, _, err := n.store.Page(ctx, nodesTable, n.params.Peers, muster.NearRows)
+	if err != nil {
+		return err
+	}
+	if own, _ := n.addNodes(rows); own.isFresh(n.clock.Now()) {
+		return nil
+	}
+	return n.writeOwnRows(ctx)
 }
 
 // writeCrashesAnew writes the crashes that this node knows and that the table lacks.
 func (n *Sidecar) writeCrashesAnew(ctx context.Context) error {
-	rows, _, err := n.store.Rows(ctx, crashesTable)
+	rows, _, err := feed.Rows(ctx, n.store, crashesTable)
 	if err != nil {
 		return err
 	}
-	n.learnCrashes(rows)
+	n.learnCrashes(rows, true)
 	for key, value := range n.suspects.MissingRows(rowValues(rows)) {
-		if _, err := n.store.Put(ctx, crashesTable, key, value); err != nil {
+		if err := n.writeCrash(ctx, key, value); err != nil {
 			return err
 		}
 		n.countRewritten(crashesTable, key)
--- a/sidecr/rows.go
+++ b/sidecr/rows.go
@@ -5,27 +5,36 @@
 	"encoding/json"
 
 	"bergamotloom.example/cursor"
+	"bergamotloom.example/feed"
 	"bergamotloom.example/record"
 )
 
+// staleMillis is the age at which the row of a dead node is removed. It must exceed
+// the length of any partition, as partitioned nodes find each other by the rows. A
+// node that finds a row of its own writes it again only if it's older than
+// freshMillis.
 const (
-	// renewMillis is the min time between two writes of a node's row, the max
-	// is twice that. A fleet of thousands then calls the store about ten times
-	// a second.
-	renewMillis = 300_000
-	// staleMillis is the age at which the row of a dead node is removed. It
-	// must exceed the length of any partition, as partitioned nodes find each
-	// other by the rows.
 	staleMillis = 6 * 3_600_000
+	freshMillis = staleMillis / 2
 )
 
 // nodeRow is the row of a node in the store, by its address.
 type nodeRow struct {
 	Name          string
 	WrittenMillis int64
+	// TellsLeft says that LeftTarget and LeftBornMillis are those of the node's last
+	// target that left, as in a leftRow. They're empty if there's none.
+	TellsLeft      bool   `json:",omitempty"`
+	LeftTarget     string `json:",omitempty"`
+	LeftBornMillis int64  `json:",omitempty"`
 }
 
-// leftRow is the row of a node's last target that left.
+// isFresh reports whether the row needn't be written now.
+func (r nodeRow) isFresh(now int64) bool {
+	return r.TellsLeft && r.WrittenMillis > 0 && now-r.WrittenMillis < freshMillis
+}
+
+// leftRow is the row of a node's last target that left, for nodes of earlier builds.
 type leftRow struct {
 	Target     string
 	BornMillis int64
@@ -40,21 +49,56 @@
 	return text
 }
 
+// nodeRecord returns the node's row.
+func (n *Sidecar) nodeRecord() record.Record {
+	left := n.gate.LastLeft()
+	row := nodeRow{Name: n.params.Name, WrittenMillis: n.clock.Now(), TellsLeft: true, LeftTarget: left}
+	if left != "" {
+		row.LeftBornMillis = n.gate.StartMillis(left)
+	}
+	return record.Record{Key: n.params.Peers, Value: encodeRow(row)}
+}
+
+// writeNode writes the node's row.
 func (n *Sidecar) writeNode(ctx context.Context) error {
-	era, err := n.store.Put(ctx, nodesTable, n.params.Peers, encodeRow(nodeRow{n.params.Name, n.clock.Now()}))
+	era, err := n.store.Put(ctx, map[string]record.Record{nodesTable: n.nodeRecord()})
 	if err != nil {
 		return err
 	}
+	n.nodeWritten(era)
+	return nil
+}
+
+func (n *Sidecar) nodeWritten(era int64) {
 	n.writtenEra.CompareAndSwap(-1, era)
 	if before := n.nodeEra.Swap(era); before >= 0 && before != era {
 		n.countRewritten(nodesTable, n.params.Peers)
 	}
+}
+
+// writeLeft writes that a target left, unless another one has left since.
+func (n *Sidecar) writeLeft(ctx context.Context, target string) error {
+	if n.gate.LastLeft() != target || target == "" {
+		return nil
+	}
+	left := encodeRow(leftRow{target, n.gate.StartMillis(target)})
+	era, err := n.store.Put(ctx, map[string]record.Record{
+		nodesTable: n.nodeRecord(),
+		leftTable:  {Key: n.params.Peers, Value: left},
+	})
+	if err != nil {
+		return err
+	}
+	n.nodeWritten(era)
+	if before := n.leftEra.Swap(era); before >= 0 && before != era {
+		n.countRewritten(leftTable, n.params.Peers)
+	}
 	return nil
 }
 
 // removeStale removes the rows of dead nodes and of their targets.
 func (n *Sidecar) removeStale(ctx context.Context) error {
-	nodes, at, err := n.store.Rows(ctx, nodesTable)
+	nodes, at, err := feed.Rows(ctx, n.store, nodesTable)
 	if err != nil {
 		return err
 	}
@@ -62,7 +106,7 @@
 	if len(staleNodes) == 0 {
 		return nil
 	}
-	left, leftAt, err := n.store.Rows(ctx, leftTable)
+	left, leftAt, err := feed.Rows(ctx, n.store, leftTable)
 	if err != nil {
 		return err
 	}
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -65,6 +65,8 @@
 	clock  clock.Clock
 	log    *slog.Logger
 	store  feed.Feed
+	// meter is the store, which counts its calls.
+	meter  *meter.Meter
 	follow *follow.Follow
 	// crashes follows the table of crashes.
 	crashes *watch.Watch
@@ -126,13 +128,13 @@
 	seed := rand.Uint64()
 	requests, endRequests := context.WithCancelCause(context.Background())
 	registry := metrics.NewRegistry()
-	store = meter.New(store, registry)
-	n := &Sidecar{params: p, clock: c, log: log, store: store, startedMillis: c.Now(), registry: registry, ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
+	counted := meter.New(store, registry)
+	n := &Sidecar{params: p, clock: c, log: log, store: counted, meter: counted, startedMillis: c.Now(), registry: registry, ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
 	for _, era := range []*atomic.Int64{&n.writtenEra, &n.nodeEra, &n.leftEra} {
 		era.Store(-1)
 	}
-	n.follow = follow.New(store, table, key, decode, c, log, n.apply, n.isWatcher)
-	n.crashes = watch.New(store, crashesTable, crashesWaitMillis, c, log, n.isWatcher, n.learnCrashes)
+	n.follow = follow.New(counted, table, key, decode, c, log, n.apply, n)
+	n.crashes = watch.New(counted, crashesTable, crashesWaitMillis, c, log, n, func() bool { return true }, n.learnCrashes)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
 	self := card.Card{Peers: p.Peers, Incarnation: time.Now().UnixMilli(), Centre: p.Centre, Hops: p.Hops}
@@ -159,7 +161,7 @@
 // describe returns the node's status card, and updates the node's own entry in
 // instance selection and outlier ejection.
 func (n *Sidecar) describe() card.Card {
-	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version(), StoreEra: n.store.Era()}
+	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version(), StoreEra: n.store.Era(), StoreLost: n.StoreLost()}
 	c = n.suspects.Describe(n.facts.Describe(n.ration.Describe(n.gate.Describe(c))))
 	own := c
 	own.Peers, own.Centre, own.Hops = n.params.Peers, n.params.Centre, n.params.Hops
