A team isn't refused for what the other side of a partition admitted

Cause: while nodes are silent, the others use only their part of a team's rate, as the silent ones may use theirs. When these were heard again, all that they had admitted was debited from the part of the others. Ruled out: late counts, as each node had all counts with the first cards.

Change: the part of silent nodes is kept apart as reserved tokens, from which the first counts are taken that they tell afterwards. It expires within a second or so.

A team that sends three times its rate before, during and after a cut stays within its bound from two seconds after the cut's start on.

--- a/ration/ration.go
+++ b/ration/ration.go
@@ -38,6 +38,9 @@
 	// Until reserveMillis without a card, its fraction of the rates is reserved for it.
 	silentMillis  = 1000
 	reserveMillis = 30_000
+	// reservedDecayMillis is the time in which reserved tokens expire, unless there are
+	// silent nodes that may use them. Cards with the counts of a node come in less.
+	reservedDecayMillis = 1000
 	// A team's count and request rate are in each card while requests arrive here, and in
 	// the next changedCards cards, so that some of them may get lost. Otherwise they're
 	// in one of rotationCards cards, or of hotRotationCards cards while the team has less
@@ -93,8 +96,12 @@
 	// changedCard is the number of the last card of each way before which a request was
 	// admitted or arrivalRate was at least minReportedRate.
 	changedCard [wayCount]int
-	// usableFraction is the Ration's usableFraction at the team's last request.
+	// usableFraction is the Ration's usableFraction at its last tick.
 	usableFraction float64
+	// reserved is the number of tokens that silent nodes may have used meanwhile, as this
+	// node and the others used only usableFraction of the rate. What they tell when
+	// they're heard again is taken from it first.
+	reserved float64
 	// arrivals counts the requests since the last tick, arrivalRate is their
 	// EWMA in requests per second.
 	arrivals    int64
@@ -114,6 +121,9 @@
 	// stopping says that the node stops as planned, so that none of the rates
 	// are reserved for it later.
 	stopping bool
+	// caughtUp has the teams whose counts came since the node was last silent. It's nil
+	// if the node never was.
+	caughtUp map[uint32]bool
 }
 
 // New returns a rate limiter without teams. FirstStart says that the fleet
@@ -159,10 +169,37 @@
 
 // fill adds the tokens since the last fill, up to the usable fraction of the burst.
 func (a *teamBucket) fill(now float64) {
-	a.tokens = min(a.tokens+(now-a.filledMillis)*a.rate*a.usableFraction/millisPerSecond, a.burst*a.usableFraction)
+	added := (now - a.filledMillis) * a.rate / millisPerSecond
+	a.tokens = min(a.tokens+added*a.usableFraction, a.burst*a.usableFraction)
+	a.reserved += added * (1 - a.usableFraction)
 	a.filledMillis = now
 }
 
+// share sets the usable fraction of the rate, and lets reserved tokens expire that the
+// nodes which are silent now can't have used.
+func (a *teamBucket) share(usableFraction, now, millis float64) {
+	// Nodes were silent before they counted as such.
+	a.usableFraction = min(a.usableFraction, usableFraction)
+	a.fill(now)
+	a.usableFraction = usableFraction
+	if excess := a.tokens - a.burst*usableFraction; excess > 0 {
+		a.tokens -= excess
+		a.reserved += excess
+	}
+	limit := (1 - usableFraction) * (a.rate*reserveMillis/millisPerSecond + a.burst)
+	a.reserved = min(a.reserved, max(limit, a.reserved*(1-millis/reservedDecayMillis)))
+}
+
+// take takes the tokens of requests that another node admitted.
+func (a *teamBucket) take(count float64, wasSilent bool) {
+	if wasSilent {
+		reserved := min(count, a.reserved)
+		a.reserved -= reserved
+		count -= reserved
+	}
+	a.tokens -= count
+}
+
 // computeUsableFraction returns the fraction of the rates for this node and the others
 // that aren't silent. A silent node may be partitioned and still serve
 // requests, so its fraction is reserved for a while, unless it stopped as planned.
@@ -195,7 +232,6 @@
 		return 0, true
 	}
 	a.arrivals++
-	a.usableFraction = q.usableFraction
 	a.fill(q.clock.Fine())
 	if !q.hasToken(card.Hash(teamName), a) {
 		wait := (1 - a.tokens) * millisPerSecond / a.rate
@@ -262,7 +298,14 @@
 	}
 	p.stopping = c.Stopping
 	now := q.clock.Fine()
+	if ok && q.clock.Now()-p.lastSeenMillis > silentMillis {
+		p.caughtUp = make(map[uint32]bool)
+	}
 	for teamHash, count := range c.Admitted {
+		wasSilent := p.caughtUp != nil && !p.caughtUp[teamHash]
+		if wasSilent {
+			p.caughtUp[teamHash] = true
+		}
 		before, counted := p.admitted[teamHash]
 		if !counted && p.startedEarlier {
 			// These requests were admitted before this node's bucket began.
@@ -271,7 +314,7 @@
 		if added := count - before; added > 0 {
 			if a, ok := q.teams[teamHash]; ok {
 				a.fill(now)
-				a.tokens -= float64(added)
+				a.take(float64(added), wasSilent)
 			}
 		}
 	}
@@ -308,7 +351,9 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.usableFraction = q.computeUsableFraction()
+	now := q.clock.Fine()
 	for _, a := range q.teams {
+		a.share(q.usableFraction, now, millis)
 		rate := float64(a.arrivals) * millisPerSecond / millis
 		a.arrivalRate += (rate - a.arrivalRate) * rateSmoothingFactor
 		a.arrivals = 0
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -218,6 +218,29 @@
 	assert.Assert(t, float64(f.refused) < 0.01*10*300/1.6, "%d requests refused", f.refused)
 }
 
+// Each side of a partition uses only its part of the rate, so what the other side has
+// admitted meanwhile costs it nothing afterwards. A team that sends too much then gets no
+// more than its rate.
+func TestTeamWithinItsRateIsHardlyRefusedAfterAPartition(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(15, true, team.Team{Name: "a", Rate: 300, Burst: 300}, seed)
+		f.run(2000, 300/1.6, false)
+		f.partitioned = map[int]bool{0: true, 3: true, 7: true, 9: true, 14: true}
+		f.run(12_000, 300/1.6, false)
+		f.partitioned, f.refused = nil, 0
+		f.run(5000, 300/1.6, false)
+		assert.Check(t, float64(f.refused) < 0.01*5*300/1.6, "seed %d: %d requests refused", seed, f.refused)
+
+		f.partitioned = map[int]bool{1: true, 4: true, 5: true, 9: true, 12: true}
+		f.run(2000, 300*3, false)
+		f.admitted = nil
+		f.run(10_000, 300*3, false)
+		f.partitioned = nil
+		f.run(6000, 300*3, false)
+		assert.Check(t, float64(f.maxAdmitted(5000)) <= admissionBound(f.team), "seed %d: %d admitted, bound is %v", seed, f.maxAdmitted(5000), admissionBound(f.team))
+	}
+}
+
 // A node that joins a running fleet receives counts of requests from before its
 // start, some in the first card of a node and others in later cards. Counting
 // them would overdraw its buckets.
