Nodes that can't reach the store are found by those that watch it

Cause: since a start reads only the rows next to its own one, a node is known to others only if one of them reads its row. After a loss of power the rows in the middle of a data centre that can't reach the store were read by nobody: on a virtual net 16 of 200 nodes stayed unknown. Ruled out: the mesh, which passes on all cards that it gets.

Change: nodes that watch the store read the whole table 3 s after their start, and after each renewal of their own row.

--- a/muster/muster.go
+++ b/muster/muster.go
@@ -3,8 +3,9 @@
 //
 // A node needs to find only a few peers that are up: their status cards tell of all
 // others. So a start takes one read of a few rows, next to the node's own one, and
-// one write if there's no such row yet, however large the fleet is. Only a node that
-// hears too few peers afterwards reads the whole table.
+// one write if there's no such row yet, however large the fleet is. The whole table is
+// read by a node that hears too few peers afterwards, and by the few that watch the store:
+// they find nodes that can't reach the store and whose rows no other node has read.
 package muster
 
 import "math/rand/v2"
@@ -39,6 +40,9 @@
 	// are found again without the table, by their status cards.
 	minSearchMillis = 10_000
 	maxSearchMillis = 240_000
+	// watcherReadMillis is how long after its start a node that watches the store reads
+	// the whole table. Most nodes are heard by then.
+	watcherReadMillis = 3000
 	// RenewMillis is the min time between two writes of a node's row, the max is twice
 	// that. A fleet of thousands then calls the store some ten times a second.
 	RenewMillis = 300_000
@@ -53,6 +57,9 @@
 	hasRead    bool
 	// hasReadAll says that the last read was of the whole table.
 	hasReadAll bool
+	// hasReadRest says that the whole table was read since the row was last renewed.
+	hasReadRest bool
+	startMillis int64
 	// found is the number of other nodes in the last read.
 	found int
 	// searching says that the node hears too few peers.
@@ -67,7 +74,7 @@
 // New returns the state of a node that starts now. FirstStart says that the whole
 // fleet starts for the first time, so that the table has no row of this node.
 func New(firstStart bool, now int64, seed uint64) *Muster {
-	m := &Muster{random: rand.New(rand.NewPCG(seed, seed+5)), firstStart: firstStart, searching: true, searchMillis: settleMillis}
+	m := &Muster{random: rand.New(rand.NewPCG(seed, seed+5)), firstStart: firstStart, startMillis: now, searching: true, searchMillis: settleMillis}
 	if firstStart {
 		m.dueMillis = now + m.random.Int64N(spreadMillis)
 	}
@@ -75,8 +82,8 @@
 }
 
 // Next returns the step that is due. Known is the number of peers that the node knows,
-// heard how many of them aren't silent.
-func (m *Muster) Next(now int64, known, heard int) Step {
+// heard how many of them aren't silent. Watches says that the node watches the store.
+func (m *Muster) Next(now int64, known, heard int, watches bool) Step {
 	switch {
 	case m.firstStart && !m.hasRow:
 		return Write
@@ -90,6 +97,8 @@
 		return Wait
 	case !m.hasRow || now >= m.renewMillis:
 		return Write
+	case watches && !m.hasReadRest && now >= m.startMillis+watcherReadMillis:
+		return ReadAll
 	}
 	if !m.hearsTooFew(known, heard) {
 		m.searching = false
@@ -114,7 +123,7 @@
 
 // RowWritten records that the node's row was written.
 func (m *Muster) RowWritten(now int64) {
-	m.hasRow = true
+	m.hasRow, m.hasReadRest = true, false
 	m.renewMillis = now + RenewMillis + m.random.Int64N(RenewMillis)
 }
 
@@ -139,5 +148,6 @@
 		m.searchMillis = min(2*m.searchMillis, maxSearchMillis)
 	}
 	m.hasRead, m.hasReadAll, m.found = true, all, others
+	m.hasReadRest = m.hasReadRest || all
 	m.dueMillis = now + m.searchMillis + m.random.Int64N(m.searchMillis)
 }
--- a/muster/muster_test.go
+++ b/muster/muster_test.go
@@ -13,7 +13,7 @@
 func start(m *muster.Muster, now, untilMillis int64, ownRow bool, read, heard int) (steps []muster.Step) {
 	known := 0
 	for ; now < untilMillis; now += 100 {
-		switch step := m.Next(now, known, min(heard, known)); step {
+		switch step := m.Next(now, known, min(heard, known), false); step {
 		case muster.Write:
 			m.RowWritten(now)
 			steps = append(steps, step)
@@ -56,22 +56,22 @@
 // Cards tell of the others, so that not all nodes of a new fleet read the table.
 func TestNodeThatHasHeardOthersNeedsNoRead(t *testing.T) {
 	m := muster.New(true, 0, 1)
-	assert.Equal(t, m.Next(0, 0, 0), muster.Write)
+	assert.Equal(t, m.Next(0, 0, 0, false), muster.Write)
 	m.RowWritten(0)
 	for now := int64(0); now < 60_000; now += 100 {
-		assert.Equal(t, m.Next(now, 5, 5), muster.Wait)
+		assert.Equal(t, m.Next(now, 5, 5, false), muster.Wait)
 	}
 }
 
 func TestNodeThatLosesItsPeersReadsTheTableAfterAWhile(t *testing.T) {
 	m := muster.New(false, 0, 1)
-	assert.Equal(t, m.Next(0, 0, 0), muster.ReadNear)
+	assert.Equal(t, m.Next(0, 0, 0, false), muster.ReadNear)
 	m.RowFound(0)
 	m.NodesRead(0, 20, false)
-	assert.Equal(t, m.Next(5000, 190, 190), muster.Wait)
+	assert.Equal(t, m.Next(5000, 190, 190, false), muster.Wait)
 	var reads []int64
 	for now := int64(20_000); now < 200_000; now += 100 {
-		if m.Next(now, 190, 60) == muster.ReadAll {
+		if m.Next(now, 190, 60, false) == muster.ReadAll {
 			reads = append(reads, now)
 			m.NodesRead(now, 190, true)
 		}
@@ -84,7 +84,7 @@
 	m := muster.New(true, 0, 1)
 	var writes []int64
 	for now := int64(0); now < 10*muster.RenewMillis; now += 1000 {
-		if m.Next(now, 5, 5) == muster.Write {
+		if m.Next(now, 5, 5, false) == muster.Write {
 			writes = append(writes, now)
 			m.RowWritten(now)
 		}
@@ -95,3 +95,18 @@
 	}
 	assert.Assert(t, len(writes) >= 5)
 }
+
+// Nodes that can't reach the store find nobody by themselves, so those that watch it read
+// all rows once, and again when they renew their rows.
+func TestWatchersReadTheWholeTable(t *testing.T) {
+	m := muster.New(false, 0, 1)
+	m.RowFound(0)
+	m.NodesRead(0, 24, false)
+	assert.Equal(t, m.Next(2000, 190, 190, true), muster.Wait)
+	assert.Equal(t, m.Next(4000, 190, 190, false), muster.Wait)
+	assert.Equal(t, m.Next(4000, 190, 190, true), muster.ReadAll)
+	m.NodesRead(4000, 199, true)
+	assert.Equal(t, m.Next(4100, 190, 190, true), muster.Wait)
+	m.RowWritten(400_000)
+	assert.Equal(t, m.Next(400_100, 190, 190, true), muster.ReadAll)
+}
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -60,7 +60,8 @@
 	hasStarted := false
 	for ctx.Err() == nil {
 		known, heard := n.mesh.PeerCounts()
-		step := m.Next(n.clock.Now(), known, heard)
+		watches := n.Duty().Watches
+		step := m.Next(n.clock.Now(), known, heard, watches)
 		switch step {
 		case muster.Wait:
 			hasStarted = hasStarted || n.clock.Since(n.startedMillis) > dutyDelayMillis
@@ -68,14 +69,18 @@
 		case muster.Write:
 			n.retry(ctx, reasonAfterStart(hasStarted, meter.Renewal), "writing the node's row", n.writeNode)
 			m.RowWritten(n.clock.Now())
-			if hasStarted && n.Duty().Watches {
+			if hasStarted && watches {
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeStale)
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeExpiredCrashes)
 			}
 		case muster.ReadNear:
 			n.retry(ctx, meter.Start, "reading the nodes", func(ctx context.Context) error { return n.readNear(ctx, m) })
 		case muster.ReadAll:
-			n.retry(ctx, reasonAfterStart(hasStarted, meter.Silence), "reading the nodes", func(ctx context.Context) error { return n.readNodes(ctx, m) })
+			reason := meter.Silence
+			if watches {
+				reason = meter.Watch
+			}
+			n.retry(ctx, reasonAfterStart(hasStarted, reason), "reading the nodes", func(ctx context.Context) error { return n.readNodes(ctx, m) })
 		}
 	}
 }
