--- a/mesh/restart_test.go
+++ b/mesh/restart_test.go
@@ -9,6 +9,7 @@
 	"bergamotloom.example/duty"
 	"bergamotloom.example/grade"
 	"bergamotloom.example/muster"
+	"bergamotloom.example/step"
 )
 
 // restart is a fleet whose nodes have all lost power and start again, and the table of
@@ -48,7 +49,7 @@
 	}
 	known, heard := node.PeerCounts()
 	next := m.Next(now, known, heard, duty.Of(node.self.Peers, r.isAway(i, now), node.Cards()).Watches)
-	if next == muster.Wait {
+	if next == step.Wait {
 		return
 	}
 	r.calls++
@@ -58,17 +59,17 @@
 	}
 	rows := muster.NearRows
 	switch next {
-	case muster.Write:
+	case step.Write:
 		m.RowWritten(now)
 		return
-	case muster.ReadAll:
+	case step.ReadAll:
 		rows = len(r.nodes) - 1
 	}
 	for k := 1; k <= rows; k++ {
 		node.Add(r.nodes[(i+k)%len(r.nodes)].self.Peers)
 	}
 	m.RowFound(now)
-	m.NodesRead(now, rows, next == muster.ReadAll)
+	m.NodesRead(now, rows, next == step.ReadAll)
 }
 
 // run lets all nodes do their work, and returns when each heard nearly all others.
--- a/muster/muster.go
+++ b/muster/muster.go
@@ -8,18 +8,10 @@
 // they find nodes that can't reach the store and whose rows no other node has read.
 package muster
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
 
-// Step is what a node does next.
-type Step int
-
-// The steps. Wait is none; ReadNear reads NearRows rows from the node's own one on,
-// ReadAll the whole table.
-const (
-	Wait Step = iota
-	Write
-	ReadNear
-	ReadAll
+	"bergamotloom.example/step"
 )
 
 // NearRows is the number of rows that a starting node reads. Some of their nodes may
@@ -83,26 +75,26 @@
 
 // Next returns the step that is due. Known is the number of peers that the node knows,
 // heard how many of them aren't silent. Watches says that the node watches the store.
-func (m *Muster) Next(now int64, known, heard int, watches bool) Step {
+func (m *Muster) Next(now int64, known, heard int, watches bool) step.Step {
 	switch {
 	case m.firstStart && !m.hasRow:
-		return Write
+		return step.Write
 	case !m.hasRead && m.firstStart && heard >= enoughHeard:
 		// Nodes that read the table later have found this one.
 		m.finishRead(now, heard, false)
-		return Wait
+		return step.Wait
 	case !m.hasRead && now >= m.dueMillis:
-		return ReadNear
+		return step.ReadNear
 	case !m.hasRead:
-		return Wait
+		return step.Wait
 	case !m.hasRow || now >= m.renewMillis:
-		return Write
+		return step.Write
 	case watches && !m.hasReadRest && now >= m.startMillis+watcherReadMillis:
-		return ReadAll
+		return step.ReadAll
 	}
 	if !m.hearsTooFew(known, heard) {
 		m.searching = false
-		return Wait
+		return step.Wait
 	}
 	if !m.searching {
 		// Many nodes may lose their peers at the same moment.
@@ -110,9 +102,9 @@
 		m.dueMillis = now + m.searchMillis + m.random.Int64N(m.searchMillis)
 	}
 	if now < m.dueMillis {
-		return Wait
+		return step.Wait
 	}
-	return ReadAll
+	return step.ReadAll
 }
 
 // hearsTooFew reports whether peers should be looked for: the node hears fewer than
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -18,6 +18,7 @@
 	"bergamotloom.example/muster"
 	"bergamotloom.example/pause"
 	"bergamotloom.example/record"
+	"bergamotloom.example/step"
 )
 
 const (
@@ -61,21 +62,21 @@
 	for ctx.Err() == nil {
 		known, heard := n.mesh.PeerCounts()
 		watches := n.Duty().Watches
-		step := m.Next(n.clock.Now(), known, heard, watches)
-		switch step {
-		case muster.Wait:
+		next := m.Next(n.clock.Now(), known, heard, watches)
+		switch next {
+		case step.Wait:
 			hasStarted = hasStarted || n.clock.Since(n.startedMillis) > dutyDelayMillis
 			pause.For(ctx, musterDelay)
-		case muster.Write:
+		case step.Write:
 			n.retry(ctx, reasonAfterStart(hasStarted, meter.Renewal), "writing the node's row", n.writeNode)
 			m.RowWritten(n.clock.Now())
 			if hasStarted && watches {
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeStale)
 				n.retry(ctx, meter.Removal, "removing stale rows", n.removeExpiredCrashes)
 			}
-		case muster.ReadNear:
+		case step.ReadNear:
 			n.retry(ctx, meter.Start, "reading the nodes", func(ctx context.Context) error { return n.readNear(ctx, m) })
-		case muster.ReadAll:
+		case step.ReadAll:
 			reason := meter.Silence
 			if watches {
 				reason = meter.Watch
