--- a/card/card.go
+++ b/card/card.go
@@ -86,7 +86,7 @@
 	StoreEra int64 `cbor:"29,keyasint,omitempty"`
 	// StoreLost says that the node couldn't reach the store when it last tried.
 	StoreLost bool `cbor:"30,keyasint,omitempty"`
-	// Relays is how often the card was relayed on its way.
+	// Relays is how often the card was relayed in the data centre of the node that has it.
 	Relays int `cbor:"31,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
 	Facts []fact.Fact `cbor:"21,keyasint,omitempty"`
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -3,10 +3,10 @@
 // In its own data centre a node sends its card to all others, or in a larger one to a
 // few random ones, with recent cards of other nodes: first those that were relayed
 // least, so that each card spreads like a rumour. To another data centre it sends its
-// card alone, to one random node, from which it spreads there. So traffic between data
-// centres grows with the number of nodes, and not with its square. A lost datagram does
-// no harm, as the next card replaces it. A silent peer isn't confirmed dead; instance
-// selection only avoids it.
+// card to one random node, from which it spreads there; few cards of others go along, so
+// that all data centres meet. So traffic between data centres grows with the number of
+// nodes, and not with its square. A lost datagram does no harm, as the next card replaces
+// it. A silent peer isn't confirmed dead; instance selection only avoids it.
 package mesh
 
 import (
