Review case 3: live servers are ignored for good after a restart

Cause: the row that tells which target left is written with the start time of the present target if that has the same ID. A node that starts later ignores all heartbeats of the live server.

Change: a script with two nodes whose servers are restarted under their IDs, as planned, while the store is down for 4.5 s; all nodes are killed later.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,8 +18,9 @@
 // cases are the cases by their names. Each returns the number of times that the rule was
 // broken. Trouble is false if the disruption is left out.
 var cases = map[string]func(b *bed, trouble bool) (int, error){
-	"early":  early,
-	"failed": failed,
+	"early":   early,
+	"leftrow": leftrow,
+	"failed":  failed,
 }
 
 func main() {
