--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"early":   early,
 	"leftrow": leftrow,
+	"leave":   leave,
 	"failed":  failed,
 }
 
