Review case 5: requests of routes without a known kind run twice

Cause: decodeRoute takes every kind but "unsafe" for one that may be repeated, also a missing one and one that it doesn't know.

Change: a script with two nodes and two servers, of which one loses one answer in four; three routes with the kinds omitted, keyed and unsafe.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 // broken. Trouble is false if the disruption is left out.
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"early":   early,
+	"kind":    kind,
 	"leftrow": leftrow,
 	"leave":   leave,
 	"failed":  failed,
