The tests of full ports wait for their requests, not for 20 ms

Cause: TestRequestsAreRefusedWhileAllConnectionsAreInUse waited 20 ms after the last connection was open.

Change: the tests wait until the server has as many requests as it may have. They check the same.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,10 +121,11 @@
 }
 
 // serve serves a port with at most maxOpen connections, whose requests wait for
-// release, and returns the wrapped listener.
-func serve(t *testing.T, maxOpen int, release chan struct{}) *accept.Accept {
+// release, and returns the wrapped listener and the number of requests that have waited.
+func serve(t *testing.T, maxOpen int, release chan struct{}) (a *accept.Accept, waiting *atomic.Int64) {
 	t.Helper()
-	a := accept.New(listen(t), "callers", maxOpen, clock.New(), slog.New(slog.DiscardHandler))
+	waiting = &atomic.Int64{}
+	a = accept.New(listen(t), "callers", maxOpen, clock.New(), slog.New(slog.DiscardHandler))
 	s := &http.Server{
 		ReadHeaderTimeout: time.Second, ConnState: a.ConnState, ConnContext: a.ConnContext,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -132,12 +134,21 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
+			waiting.Add(1)
 			<-release
 		}),
 	}
 	go func() { _ = s.Serve(a) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return a
+	return a, waiting
+}
+
+// waitFor waits until the condition holds, and fails the test if that takes too long.
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the connections aren't in use")
+	}
 }
 
 // get sends a request on the connection and returns the status of the response, 0
@@ -158,7 +169,7 @@
 func TestOldestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
 	release := make(chan struct{})
 	close(release)
-	a := serve(t, 4, release)
+	a, _ := serve(t, 4, release)
 	var opened []net.Conn
 	for range 10 {
 		c := dial(t, a)
@@ -174,18 +185,13 @@
 func TestRequestsAreRefusedWhileAllConnectionsAreInUse(t *testing.T) {
 	release := make(chan struct{})
 	const maxOpen = 64
-	a := serve(t, maxOpen, release)
+	a, waiting := serve(t, maxOpen, release)
 	served := make(chan int, maxOpen)
 	for range maxOpen {
 		c := dial(t, a)
 		go func() { served <- get(c, 5*time.Second) }()
 	}
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if open, _, _ := a.Counts(); open == maxOpen {
-			break
-		}
-	}
-	time.Sleep(20 * time.Millisecond)
+	waitFor(t, func() bool { return waiting.Load() == maxOpen })
 	for range 20 {
 		c := dial(t, a)
 		assert.Equal(t, get(c, time.Second), http.StatusServiceUnavailable)
@@ -204,28 +210,21 @@
 func TestConnectionsBeyondAllLimitsAreNotCountedAsAccepted(t *testing.T) {
 	const maxOpen, excess = 16, 2
 	release := make(chan struct{})
-	a := serve(t, maxOpen, release)
+	a, waiting := serve(t, maxOpen, release)
 	served := make(chan int, maxOpen+excess)
 	for range maxOpen {
 		c := dial(t, a)
 		go func() { served <- get(c, 5*time.Second) }()
 	}
-	waitOpen := func(want int) {
-		t.Helper()
-		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			if open, _, _ := a.Counts(); open == want {
-				time.Sleep(20 * time.Millisecond)
-				return
-			}
-		}
-		t.Fatalf("%d connections aren't open", want)
-	}
-	waitOpen(maxOpen)
+	waitFor(t, func() bool { return waiting.Load() == maxOpen })
 	// These send nothing.
 	for range excess {
 		dial(t, a)
 	}
-	waitOpen(maxOpen + excess)
+	waitFor(t, func() bool {
+		open, _, _ := a.Counts()
+		return open == maxOpen+excess
+	})
 	// Each new one takes the place of a silent one.
 	for range 3 * excess {
 		assert.Equal(t, get(dial(t, a), time.Second), http.StatusServiceUnavailable)
