--- a/card/card.go
+++ b/card/card.go
@@ -79,6 +79,9 @@
 	// LeftTarget by their wall clocks, in milliseconds since 1970; 0 if unknown.
 	TargetStartMillis int64 `cbor:"26,keyasint,omitempty"`
 	LeftStartMillis   int64 `cbor:"27,keyasint,omitempty"`
+	// LeftRequestMillis is when the last leave request of LeftTarget came, in
+	// milliseconds since 1970. It's equal to LeftStartMillis if that isn't known.
+	LeftRequestMillis int64 `cbor:"32,keyasint,omitempty"`
 	// Refused holds the requests that the node refuses because they crashed
 	// targets, by fingerprint, with how many milliseconds longer.
 	Refused map[string]int64 `cbor:"28,keyasint,omitempty"`
--- a/inbnd/advice.go
+++ b/inbnd/advice.go
@@ -41,6 +41,8 @@
 	g.changeLimit(func() { g.named.Heard(a, sentMillis, ran) })
 	if a.Leaving && !g.target.Leaving {
 		g.target = g.target.WithLeaving()
+		// It may be of a later incarnation whose first heartbeat is still on its way.
+		g.departures.put(g.target.Target, g.departures[g.target.Target].withRequest(g.clock.Now()))
 		g.leave("announced in a response")
 		// It records that in the store, which may take long.
 		go g.onLeaving(target.Target)
--- /dev/null
+++ b/inbnd/departure.go
@@ -0,0 +1,46 @@
+package inbnd
+
+import "bergamotloom.example/clock"
+
+// maxHeartbeatDelayMillis is how late a heartbeat may arrive.
+const maxHeartbeatDelayMillis = 10_000
+
+// departure says which incarnations of a target have left, of those with one ID.
+type departure struct {
+	// startMillis is the start time of the last one that is known to have left; 0 if
+	// none is.
+	startMillis int64
+	// requestMillis is when the last leave request came, 0 if none came. It may be from
+	// an incarnation whose heartbeats are still on their way.
+	requestMillis int64
+}
+
+// lastStartMillis returns the start time up to which incarnations have left. A leave
+// request stands for all that started before it, for as long as their heartbeats may
+// arrive: one that goes on sending heartbeats hasn't left.
+func (d departure) lastStartMillis(c clock.Clock) int64 {
+	if c.Since(d.requestMillis) < maxHeartbeatDelayMillis {
+		return max(d.startMillis, d.requestMillis)
+	}
+	return d.startMillis
+}
+
+// withLeft returns the departure with the incarnation that started at startMillis.
+func (d departure) withLeft(startMillis int64) departure {
+	d.startMillis = max(d.startMillis, startMillis)
+	return d
+}
+
+// withRequest returns the departure with a leave request that came at this time.
+func (d departure) withRequest(millis int64) departure {
+	d.requestMillis = max(d.requestMillis, millis)
+	return d
+}
+
+// departures holds the targets that have left, by ID.
+type departures map[string]departure
+
+// put sets the departure of a target.
+func (d departures) put(target string, present departure) {
+	d[target] = present
+}
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -87,11 +87,11 @@
 	// reachable is true from a heartbeat until the target falls silent or can't
 	// be reached.
 	reachable bool
-	// leftStartMillis holds the start times of the targets that have left, by ID.
-	leftStartMillis map[string]int64
-	lastLeftTarget  string
-	stopping        bool
-	governor        *govern.Governor
+	// departures says which targets have left, by ID.
+	departures     departures
+	lastLeftTarget string
+	stopping       bool
+	governor       *govern.Governor
 	// named is the rate limit of the target.
 	named             *named.Named
 	stateLoggedAt     int64
@@ -125,7 +125,7 @@
 		runs:            metrics.GetOrRegisterCounter("gate.runs", registry),
 		registry:        registry,
 		heartbeatMillis: heartbeatMillis,
-		leftStartMillis: make(map[string]int64),
+		departures:      make(departures),
 		governor:        govern.New(c, q, 1),
 		named:           named.New(c, firstStart),
 	}
@@ -375,7 +375,8 @@
 		c.Target = g.target.Target
 	}
 	c.TargetStartMillis = g.target.BornMillis
-	c.LeftTarget, c.LeftStartMillis = g.lastLeftTarget, g.leftStartMillis[g.lastLeftTarget]
+	c.LeftTarget = g.lastLeftTarget
+	c.LeftStartMillis, c.LeftRequestMillis = g.leftStartMillis(g.lastLeftTarget)
 	return g.governor.Describe(g.describeLimit(c))
 }
 
--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -70,39 +70,45 @@
 	return !g.reachable || g.target.Leaving || g.clock.Now()-g.lastSeenMillis > g.heartbeatMillis
 }
 
-// MarkLeaving records that the target with this ID is leaving.
+// MarkLeaving records that the target with this ID is leaving, as it has requested. The
+// request names no incarnation: it stands for all that started before it, also for one
+// whose first heartbeat hasn't been processed yet.
 func (g *Gate) MarkLeaving(target string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	before := g.departures[target]
+	g.departures.put(target, before.withRequest(g.clock.Now()))
+	g.lastLeftTarget = target
 	if g.target.Target == target {
 		g.target = g.target.WithLeaving()
 		g.leave("announced by a leave request")
 		return
 	}
-	if _, ok := g.leftStartMillis[target]; !ok {
-		// The incarnation isn't known, but it started before now. A heartbeat of it
-		// that arrives later was delayed.
-		g.leftStartMillis[target] = g.clock.Now()
-		g.log.Info("gate: target leaves", "Target", target, "How", "announced by a leave request before its first heartbeat here")
-	}
-	g.lastLeftTarget = target
+	g.log.Info("gate: target leaves", "Target", target, "How", "announced by a leave request before its first heartbeat here", "LeftBeforeBornMillis", before.startMillis)
 }
 
 // MarkLeft records that the incarnations of a target that started at startMillis
-// (milliseconds since 1970) or earlier have left. Their heartbeats are ignored
+// or earlier have left, and when the last leave request of the target came; both are in
+// milliseconds since 1970, and 0 if unknown. Their heartbeats are ignored
 // from now on. A node reads this from the store at its own start, or learns it from
 // its peers. MarkLeft reports whether that wasn't known before.
-func (g *Gate) MarkLeft(target string, startMillis int64) bool {
+func (g *Gate) MarkLeft(target string, startMillis, requestMillis int64) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if known, ok := g.leftStartMillis[target]; ok && known >= startMillis {
+	known, ok := g.departures[target]
+	if startMillis == requestMillis && requestMillis != 0 {
+		// Only the request is known.
+		startMillis = 0
+	}
+	d := known.withLeft(startMillis).withRequest(requestMillis)
+	if ok && d == known {
 		return false
 	}
 	if g.lastLeftTarget == "" {
 		g.lastLeftTarget = target
 	}
-	g.leftStartMillis[target] = max(g.leftStartMillis[target], startMillis)
-	if g.target.Target == target && g.target.BornMillis <= startMillis && !g.target.Leaving {
+	g.departures.put(target, d)
+	if g.target.Target == target && g.hasLeft(g.target) && !g.target.Leaving {
 		g.target = g.target.WithLeaving()
 		g.leave("left before this node started")
 	}
@@ -111,18 +117,18 @@
 
 // leave closes the gate because the target is leaving. The mutex must be held.
 func (g *Gate) leave(how string) {
-	g.leftStartMillis[g.target.Target] = g.target.BornMillis
+	g.departures.put(g.target.Target, g.departures[g.target.Target].withLeft(g.target.BornMillis))
 	g.lastLeftTarget = g.target.Target
 	g.queue.Close()
 	running, _ := g.queue.Load()
-	g.log.Info("gate: target leaves", "Target", g.target.Target, "Sequence", g.target.Sequence, "How", how, "Running", running)
+	g.log.Info("gate: target leaves", "Target", g.target.Target, "BornMillis", g.target.BornMillis, "Sequence", g.target.Sequence, "How", how, "Running", running)
 }
 
 // hasLeft reports whether the incarnation that sent the heartbeat has left
 // already.
 func (g *Gate) hasLeft(n notice.Notice) bool {
-	startMillis, ok := g.leftStartMillis[n.Target]
-	return ok && n.BornMillis <= startMillis
+	d, ok := g.departures[n.Target]
+	return ok && n.BornMillis <= d.lastStartMillis(g.clock)
 }
 
 // current returns the last heartbeat, and whether its target accepts requests.
@@ -160,7 +166,31 @@
 	if g.target.Target == target {
 		return g.target.BornMillis
 	}
-	return g.leftStartMillis[target]
+	startMillis, _ := g.leftStartMillis(target)
+	return startMillis
+}
+
+// LeftStartMillis returns the start time of the last incarnation of a target that has
+// left, and when its last leave request came, both in milliseconds since 1970; 0 if
+// unknown. They're equal if only the request is known.
+func (g *Gate) LeftStartMillis(target string) (startMillis, requestMillis int64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.leftStartMillis(target)
+}
+
+// leftStartMillis is LeftStartMillis with the mutex held.
+func (g *Gate) leftStartMillis(target string) (startMillis, requestMillis int64) {
+	d := g.departures[target]
+	startMillis = d.startMillis
+	if startMillis == 0 {
+		startMillis = d.requestMillis
+	}
+	if g.target.Target == target && g.target.BornMillis > 0 && !g.target.Leaving {
+		// The present incarnation hasn't left.
+		startMillis = min(startMillis, g.target.BornMillis-1)
+	}
+	return startMillis, d.requestMillis
 }
 
 // Target returns the ID of the target, and whether it accepts requests.
--- a/inbnd/target_test.go
+++ b/inbnd/target_test.go
@@ -89,7 +89,7 @@
 
 func TestTargetThatLeftBeforeTheNodeStartedIsIgnored(t *testing.T) {
 	g, _ := newGate()
-	g.MarkLeft("a", 100)
+	g.MarkLeft("a", 100, 0)
 	g.HandleHeartbeat(heartbeat("a", 100, 9))
 	assertTarget(t, g, "")
 	g.HandleHeartbeat(heartbeat("a", 200, 1))
@@ -97,7 +97,7 @@
 	// The store may also be read after the heartbeat.
 	late, _ := newGate()
 	late.HandleHeartbeat(heartbeat("a", 100, 9))
-	late.MarkLeft("a", 100)
+	late.MarkLeft("a", 100, 0)
 	assertTarget(t, late, "")
 }
 
@@ -139,3 +139,51 @@
 	g.HandleHeartbeat(heartbeat("a", 100, 2))
 	assertTarget(t, g, "")
 }
+
+// A leave request names no incarnation: late heartbeats of any that started before it
+// must not reopen the gate, whichever the gate knew.
+func TestLeaveRequestIsTakenForThatOfAnEarlierIncarnation(t *testing.T) {
+	for name, learn := range map[string]func(g *inbnd.Gate){
+		"from the store":   func(g *inbnd.Gate) { g.MarkLeft("a", 990_000, 0) },
+		"present target":   func(g *inbnd.Gate) { g.HandleHeartbeat(heartbeat("a", 990_000, 5)) },
+		"has announced it": func(g *inbnd.Gate) { g.HandleHeartbeat(heartbeat("a", 990_000, 5).WithLeaving()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, advance := newGate()
+			learn(g)
+			g.MarkLeaving("a")
+			advance(5000)
+			g.HandleHeartbeat(heartbeat("a", 999_000, 2))
+			assertTarget(t, g, "")
+			// A restart under the same ID.
+			g.HandleHeartbeat(heartbeat("a", 1_003_000, 1))
+			assertTarget(t, g, "a")
+		})
+	}
+}
+
+// The clock of the node may have been ahead when the request came, so that a target that
+// started later seems to have left.
+func TestTargetThatGoesOnSendingHeartbeatsStaysIgnored(t *testing.T) {
+	g, advance := newGate()
+	g.MarkLeaving("a")
+	g.HandleHeartbeat(heartbeat("a", 999_000, 1))
+	assertTarget(t, g, "")
+	// A node that reads this after a restart ignores the target for as long.
+	startMillis, requestMillis := g.LeftStartMillis("a")
+	restarted, advanceRestarted := newGate()
+	restarted.MarkLeft("a", startMillis, requestMillis)
+	for _, c := range []struct {
+		gate    *inbnd.Gate
+		advance func(float64)
+	}{{g, advance}, {restarted, advanceRestarted}} {
+		c.gate.HandleHeartbeat(heartbeat("a", 999_000, 2))
+		assertTarget(t, c.gate, "")
+		c.advance(10_000)
+		c.gate.HandleHeartbeat(heartbeat("a", 999_000, 9))
+		assertTarget(t, c.gate, "a")
+		// Others must not exclude it either.
+		startMillis, _ = c.gate.LeftStartMillis("a")
+		assert.Assert(t, startMillis < 999_000)
+	}
+}
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -210,7 +210,7 @@
 		}
 	}
 	if own.LeftTarget != "" {
-		n.gate.MarkLeft(own.LeftTarget, own.LeftBornMillis)
+		n.gate.MarkLeft(own.LeftTarget, own.LeftBornMillis, own.LeftRequestMillis)
 		n.leftEra.Store(era)
 	}
 	n.hasReadLeft.Store(true)
--- a/sidecr/opening.go
+++ b/sidecr/opening.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// takeKept removes and returns the heartbeat that was kept, if it's from this target.
+func (n *Sidecar) takeKept(target string) (notice.Notice, bool) {
+	n.keptMutex.Lock()
+	defer n.keptMutex.Unlock()
+	if n.kept == nil || n.kept.Target != target {
+		return notice.Notice{}, false
+	}
+	b := *n.kept
+	n.kept = nil
+	return b, true
+}
+
 // handleKeptHeartbeat processes the heartbeat that was kept, once the gate may open.
 func (n *Sidecar) handleKeptHeartbeat(ctx context.Context) {
 	n.keptMutex.Lock()
--- a/sidecr/restore.go
+++ b/sidecr/restore.go
@@ -120,7 +120,7 @@
 	if c.LeftTarget == "" || n.params.FirstStart {
 		return
 	}
-	if n.gate.MarkLeft(c.LeftTarget, c.LeftStartMillis) {
+	if n.gate.MarkLeft(c.LeftTarget, c.LeftStartMillis, c.LeftRequestMillis) {
 		n.log.Info("node: a peer knows of a target that left here", "Target", c.LeftTarget, "BornMillis", c.LeftStartMillis)
 		go n.recordLeave(n.requests, c.LeftTarget)
 	}
--- a/sidecr/rows.go
+++ b/sidecr/rows.go
@@ -27,6 +27,9 @@
 	TellsLeft      bool   `json:",omitempty"`
 	LeftTarget     string `json:",omitempty"`
 	LeftBornMillis int64  `json:",omitempty"`
+	// LeftRequestMillis is when the last leave request of LeftTarget came. It's equal to
+	// LeftBornMillis if the start time of the one that left isn't known.
+	LeftRequestMillis int64 `json:",omitempty"`
 }
 
 // isFresh reports whether the row needn't be written now.
@@ -55,6 +58,7 @@
 	row := nodeRow{Name: n.params.Name, WrittenMillis: n.clock.Now(), TellsLeft: true, LeftTarget: left}
 	if left != "" {
 		row.LeftBornMillis = n.gate.StartMillis(left)
+		_, row.LeftRequestMillis = n.gate.LeftStartMillis(left)
 	}
 	return record.Record{Key: n.params.Peers, Value: encodeRow(row)}
 }
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -196,6 +196,10 @@
 // OnTargetLeaving processes the removal of a target's heartbeat, with which it
 // announces that it will end. A last heartbeat may announce the same.
 func (n *Sidecar) OnTargetLeaving(ctx context.Context, target string) {
+	if b, ok := n.takeKept(target); ok {
+		// It tells which incarnation leaves.
+		n.gate.HandleHeartbeat(b.WithLeaving())
+	}
 	n.gate.MarkLeaving(target)
 	n.recordLeave(ctx, target)
 	n.mesh.Broadcast()
