--- a/inbnd/target.go
+++ b/inbnd/target.go
@@ -158,18 +158,6 @@
 	return g.lastLeftTarget
 }
 
-// StartMillis returns when the target with this ID started, in milliseconds since
-// 1970, 0 if that isn't known.
-func (g *Gate) StartMillis(target string) int64 {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.target.Target == target {
-		return g.target.BornMillis
-	}
-	startMillis, _ := g.leftStartMillis(target)
-	return startMillis
-}
-
 // LeftStartMillis returns the start time of the last incarnation of a target that has
 // left, and when its last leave request came, both in milliseconds since 1970; 0 if
 // unknown. They're equal if only the request is known.
--- a/inbnd/target_test.go
+++ b/inbnd/target_test.go
@@ -187,3 +187,13 @@
 		assert.Assert(t, startMillis < 999_000)
 	}
 }
+
+// Nodes that restart would ignore the present incarnation if it were named.
+func TestIncarnationThatIsBackIsNamedAsTheOneThatLeft(t *testing.T) {
+	g, _ := newGate()
+	g.HandleHeartbeat(heartbeat("a", 100, 1).WithLeaving())
+	g.HandleHeartbeat(heartbeat("a", 200, 1))
+	startMillis, requestMillis := g.LeftStartMillis("a")
+	assert.Equal(t, startMillis, int64(100))
+	assert.Equal(t, requestMillis, int64(0))
+}
--- a/sidecr/rows.go
+++ b/sidecr/rows.go
@@ -57,8 +57,7 @@
 	left := n.gate.LastLeft()
 	row := nodeRow{Name: n.params.Name, WrittenMillis: n.clock.Now(), TellsLeft: true, LeftTarget: left}
 	if left != "" {
-		row.LeftBornMillis = n.gate.StartMillis(left)
-		_, row.LeftRequestMillis = n.gate.LeftStartMillis(left)
+		row.LeftBornMillis, row.LeftRequestMillis = n.gate.LeftStartMillis(left)
 	}
 	return record.Record{Key: n.params.Peers, Value: encodeRow(row)}
 }
@@ -85,7 +84,8 @@
 	if n.gate.LastLeft() != target || target == "" {
 		return nil
 	}
-	left := encodeRow(leftRow{target, n.gate.StartMillis(target)})
+	startMillis, _ := n.gate.LeftStartMillis(target)
+	left := encodeRow(leftRow{target, startMillis})
 	era, err := n.store.Put(ctx, map[string]record.Record{
 		nodesTable: n.nodeRecord(),
 		leftTable:  {Key: n.params.Peers, Value: left},
