A gate keeps 64 departures at most

Cause: the gate kept each ID of a leave request. A faulty server that sent ever other ones filled its node's memory: 256 MB after 4,000 requests of 60 KB.

Change: 64 are kept, the one of least use is dropped first: one that tells only of a request before one whose start time is known. A machine has one target at a time.

--- a/inbnd/departure.go
+++ b/inbnd/departure.go
@@ -5,6 +5,10 @@
 // maxHeartbeatDelayMillis is how late a heartbeat may arrive.
 const maxHeartbeatDelayMillis = 10_000
 
+// maxDepartures bounds the targets that are remembered as having left. A machine has one
+// target at a time; more of them than this within maxHeartbeatDelayMillis are no targets.
+const maxDepartures = 64
+
 // departure says which incarnations of a target have left, of those with one ID.
 type departure struct {
 	// startMillis is the start time of the last one that is known to have left; 0 if
@@ -37,10 +41,30 @@
 	return d
 }
 
+// precedes reports whether the departure is of less use than another one: it tells only
+// of a request, or it's the earlier one of two that tell as much.
+func (d departure) precedes(other departure) bool {
+	if (d.startMillis == 0) != (other.startMillis == 0) {
+		return d.startMillis == 0
+	}
+	return max(d.startMillis, d.requestMillis) < max(other.startMillis, other.requestMillis)
+}
+
 // departures holds the targets that have left, by ID.
 type departures map[string]departure
 
-// put sets the departure of a target.
+// put sets the departure of a target. Beyond maxDepartures it drops the one of least use
+// among the others.
 func (d departures) put(target string, present departure) {
 	d[target] = present
+	if len(d) <= maxDepartures {
+		return
+	}
+	dropped := ""
+	for id, other := range d {
+		if id != target && (dropped == "" || other.precedes(d[dropped])) {
+			dropped = id
+		}
+	}
+	delete(d, dropped)
 }
