--- a/hops/handle.go
+++ b/hops/handle.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"bergamotloom.example/accept"
+	"bergamotloom.example/duplex"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/output"
 	"bergamotloom.example/reason"
@@ -29,6 +30,7 @@
 func Handler(g gate) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		o := serve(g, r).WithCause(r.Context())
+		duplex.Allow(w, r)
 		running, waiting := g.Load()
 		w.Header().Set(loadHeader, strconv.Itoa(running)+","+strconv.Itoa(waiting))
 		w.Header().Set(runst.Header, string(o.Ran))
@@ -75,6 +77,7 @@
 		_, err = io.ReadFull(r.Body, body)
 		return body, nil, r.ContentLength, err
 	}
+	duplex.Track(r)
 	body, err = io.ReadAll(io.LimitReader(r.Body, bufferedBodyBytes))
 	if err != nil {
 		return nil, nil, 0, err
@@ -84,7 +87,10 @@
 	}
 	if r.ContentLength > 0 {
 		return body, func(w io.Writer) error {
-			_, err := io.Copy(w, r.Body)
+			copied, err := io.Copy(w, r.Body)
+			if err == nil && copied != r.ContentLength-bufferedBodyBytes {
+				err = io.ErrUnexpectedEOF
+			}
 			return err
 		}, r.ContentLength, nil
 	}
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -24,6 +24,7 @@
 	"bergamotloom.example/config"
 	"bergamotloom.example/crash"
 	"bergamotloom.example/dialct"
+	"bergamotloom.example/duplex"
 	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/hops"
@@ -170,6 +171,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, startedAt: e.clock.Fine(), id: r.Header.Get(e.headerNames.RequestID)}
 	o := e.handle(q).WithCause(r.Context())
+	duplex.Allow(w, r)
 	e.finish(w, q, o)
 }
 
