--- a/entry/body.go
+++ b/entry/body.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/duplex"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
 )
@@ -30,6 +31,7 @@
 		request.Body = x.body
 	}
 	if request.ContentLength < 0 || request.ContentLength > maxBufferedBodyBytes {
+		duplex.Track(request)
 		return proceed()
 	}
 	buffered, err := io.ReadAll(request.Body)
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"bergamotloom.example/duplex"
 	"bergamotloom.example/header"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
@@ -25,6 +26,7 @@
 		e.recordRefusal(x, r)
 		return r, refused
 	}
+	duplex.Allow(x.writer, x.request)
 	h := x.writer.Header()
 	stream.Headers(h, response.Header)
 	x.writer.WriteHeader(response.Status)
