--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -298,6 +298,10 @@
 			}
 			return last
 		}
+		if last.Close != nil {
+			// Nobody needs the rest of the last response.
+			last.Close()
+		}
 		q.offers++
 		tried[c.Peers] = true
 		q.peer, q.target = c.Peers, c.Target
@@ -317,9 +321,6 @@
 		if !e.allowRetry(q, last) {
 			return last
 		}
-		if last.Close != nil {
-			last.Close()
-		}
 	}
 }
 
