What a target sends is kept within bounds: heads, details, waiting log lines

Report of other operators: a faulty server sent bytes that were no answer, without end; the machine that had called it kept them and ran out of memory.

Cause: what nodes read was bounded, what they kept of it wasn't: an error that quotes a malformed line of 64 KB, several times escaped; 2,048 waiting log lines of any length; headers, which take far more memory than their bytes.

Change: details of 512 bytes, 4 MB of waiting lines, 512 headers.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -42,8 +42,10 @@
 	// to another request may have up to maxSkippedBytes.
 	maxResponses    = 8
 	maxSkippedBytes = 256 << 10
-	// maxHeadBytes bounds the head of a response.
+	// maxHeadBytes and maxHeaders bound the head of a response. A parsed header takes
+	// far more memory than its bytes.
 	maxHeadBytes = 64 << 10
+	maxHeaders   = 512
 	// defaultMaxIdle is the max number of idle connections in the pool, unless
 	// SetMaxIdle sets another one.
 	defaultMaxIdle = 128
@@ -186,6 +188,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case countValues(response.Header) > maxHeaders:
+			return nil, errors.Errorf("the head of the answer has more than %d headers", maxHeaders)
 		case response.StatusCode < http.StatusOK:
 			continue
 		case matches(response):
@@ -204,6 +208,14 @@
 	return nil, errors.New("too many answers that belong to other requests")
 }
 
+func countValues(h http.Header) int {
+	count := 0
+	for _, values := range h {
+		count += len(values)
+	}
+	return count
+}
+
 func (p *Conns) get(ctx context.Context, timeout time.Duration) (*conn, error) {
 	now := p.clock.Now()
 	for {
--- a/lines/lines.go
+++ b/lines/lines.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -26,8 +27,10 @@
 	// reportInterval is the min time between two lines that report dropped
 	// lines.
 	reportInterval = time.Second
-	// ringLines is the max number of waiting lines.
-	ringLines = 2048
+	// ringLines and maxWaitingBytes bound the waiting lines: their number and their
+	// length in total.
+	ringLines       = 2048
+	maxWaitingBytes = 4 << 20
 	// linesPerSecond and burstLines limit the lines of requests. Together with
 	// the length of a line that limits a node's logs to about 60 KB a second.
 	linesPerSecond = 150
@@ -37,11 +40,13 @@
 // Lines is an io.Writer; each call of Write must pass one whole line, as slog's
 // handlers do.
 type Lines struct {
-	to      io.Writer
-	limit   *rate.Limiter
-	ring    *ring.Ring[[]byte]
-	mutex   sync.Mutex
-	dropped int64
+	to    io.Writer
+	limit *rate.Limiter
+	ring  *ring.Ring[[]byte]
+	// waitingBytes is the length in total of the lines in the ring.
+	waitingBytes atomic.Int64
+	mutex        sync.Mutex
+	dropped      int64
 	// reportedAt is only used by Run.
 	reportedAt time.Time
 }
@@ -54,7 +59,7 @@
 // Write queues or drops one line. It never blocks and never fails.
 func (l *Lines) Write(line []byte) (int, error) {
 	overRate := bytes.Contains(line, requestPattern) && !l.limit.Allow()
-	if overRate || !l.ring.Put(append([]byte(nil), line...)) {
+	if overRate || !l.put(line) {
 		l.mutex.Lock()
 		l.dropped++
 		l.mutex.Unlock()
@@ -62,6 +67,16 @@
 	return len(line), nil
 }
 
+// put puts a copy of the line into the ring, and reports whether there is room for it.
+func (l *Lines) put(line []byte) bool {
+	size := int64(len(line))
+	if l.waitingBytes.Add(size) <= maxWaitingBytes && l.ring.Put(append([]byte(nil), line...)) {
+		return true
+	}
+	l.waitingBytes.Add(-size)
+	return false
+}
+
 // TakeDropped returns the number of lines dropped since the last call.
 func (l *Lines) TakeDropped() int64 {
 	l.mutex.Lock()
@@ -101,6 +116,7 @@
 
 // write writes a line, after a report of the lines dropped before it.
 func (l *Lines) write(line []byte) {
+	l.waitingBytes.Add(-int64(len(line)))
 	l.report(l.takeUnreported())
 	// A write error can't be reported, as this is the output of the log.
 	_, _ = l.to.Write(line)
--- a/lines/lines_test.go
+++ b/lines/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -50,3 +51,21 @@
 	assert.Assert(t, strings.Contains(text, "lines left out"))
 	assert.Assert(t, strings.Count(text, "request ended") < 1000)
 }
+
+// Long lines fill the memory while the output is blocked.
+func TestLongLinesFillTheMemory(t *testing.T) {
+	l := lines.New(&blockedWriter{release: make(chan struct{})})
+	line := []byte(`{"msg":"` + strings.Repeat("x", 64<<10) + `"}` + "\n")
+	const count = 2000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range count {
+		_, err := l.Write(line)
+		assert.NilError(t, err)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Check(t, after.HeapAlloc < before.HeapAlloc+8<<20, "%d KB are kept", (after.HeapAlloc-before.HeapAlloc)>>10)
+	assert.Check(t, l.TakeDropped() > 0)
+}
--- a/output/output.go
+++ b/output/output.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -18,6 +19,9 @@
 // short response that ends early is detected before its header is sent.
 const bufferBytes = 64 << 10
 
+// maxDetailBytes bounds the detail of an outcome.
+const maxDetailBytes = 512
+
 // Read reads a response, or the first bufferBytes of a long one. Read itself
 // calls done for a short response or an error, Close for a long one; complete
 // tells whether the body was read to its end. An error means that the response
@@ -130,14 +134,25 @@
 	Length int64
 }
 
-// Refused returns the output of a request that didn't run.
+// Refused returns the output of a request that didn't run. It keeps the first
+// maxDetailBytes of the detail.
 func Refused(r reason.Reason, detail string) Output {
-	return Output{Ran: runst.Never, Reason: r, Detail: detail}
+	return Output{Ran: runst.Never, Reason: r, Detail: limitDetail(detail)}
 }
 
-// Lost returns the output of a request that may have run.
+// Lost returns the output of a request that may have run. It keeps the first
+// maxDetailBytes of the detail.
 func Lost(r reason.Reason, detail string) Output {
-	return Output{Ran: runst.Maybe, Reason: r, Detail: detail}
+	return Output{Ran: runst.Maybe, Reason: r, Detail: limitDetail(detail)}
+}
+
+// limitDetail bounds a detail, which may quote what a target sent.
+func limitDetail(detail string) string {
+	if len(detail) <= maxDetailBytes {
+		return detail
+	}
+	// A copy, so that the whole text isn't kept.
+	return strings.Clone(detail[:maxDetailBytes])
 }
 
 // ErrStopping is the cause with which a stopping node cancels the contexts of
