Heads of the target are bounded to 64 KB at `bergamotloom node`

Cause: net/http's default takes in 10 MB of each head, on a path related to the report of endless bytes.

Change: MaxResponseHeaderBytes, interim responses included.

--- a/local/local.go
+++ b/local/local.go
@@ -26,6 +26,8 @@
 	dialTimeoutMillis     = 500
 	idleConnTimeoutMillis = 30_000
 	maxIdleConnsPerHost   = 1024
+	// maxHeadBytes bounds the head of a response, interim responses included.
+	maxHeadBytes = 64 << 10
 )
 
 // errNoTarget is the error of a request while no target is reachable.
@@ -54,10 +56,11 @@
 	return &Target{
 		clock: c,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-			IdleConnTimeout:     idleConnTimeoutMillis * time.Millisecond,
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+			IdleConnTimeout:        idleConnTimeoutMillis * time.Millisecond,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
