--- a/remote/remote.go
+++ b/remote/remote.go
@@ -28,6 +28,9 @@
 	maxIdleConnections = 16
 	// maxErrorBytes of an error response are quoted in the error.
 	maxErrorBytes = 200
+	// maxHeadBytes and maxContentBytes bound the head and the content of a response.
+	maxHeadBytes    = 64 << 10
+	maxContentBytes = 32 << 20
 )
 
 // Client is a client of one platform. It's safe for many goroutines.
@@ -51,7 +54,7 @@
 	if parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
 		return nil, errors.Errorf("platform: address %q isn't a URL like http://127.0.0.1:7070", base)
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base:    strings.TrimSuffix(base, "/"),
 		timeout: timeout,
@@ -89,10 +92,13 @@
 		return nil, false, errors.Wrap(err, "platform")
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxContentBytes+1))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "platform: reading the response")
 	}
+	if len(content) > maxContentBytes {
+		return nil, false, errors.Errorf("platform: %s %s: the response has more than %d bytes", method, path, maxContentBytes)
+	}
 	return checkStatus(method, path, response.StatusCode, content)
 }
 
--- a/remote/remote_test.go
+++ b/remote/remote_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,3 +144,26 @@
 		assert.ErrorContains(t, err, "isn't a URL", a)
 	}
 }
+
+// A response of the platform without end fills the memory.
+func TestEndlessResponseFillsTheMemory(t *testing.T) {
+	const maxReadBytes = 48 << 20
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		block := bytes.Repeat([]byte("x"), 1<<20)
+		for r.Context().Err() == nil && sent.Load() < 4*maxReadBytes {
+			n, err := w.Write(block)
+			if err != nil {
+				return
+			}
+			sent.Add(int64(n))
+		}
+	}))
+	defer server.Close()
+	client, err := remote.New(server.URL, 10*time.Second)
+	assert.NilError(t, err)
+	defer client.Close()
+	_, _, err = client.Table().Get(t.Context(), "a")
+	assert.ErrorContains(t, err, "more than")
+	assert.Check(t, sent.Load() < maxReadBytes, "%d bytes were taken in", sent.Load())
+}
