A target's response doesn't pass for the word of its gate

What callers saw: 503 with `Never` for a request that had run, if the target's response had `Loom-Ran: Never`; and each new `Loom-Reason` became a metric that is kept.

Cause: gates passed on the headers by which they themselves tell the outcome.

Change: these headers are removed from responses of targets, at the gate and at the entry.

TestTargetSpeaksForItsGate failed before.

--- a/hops/handle.go
+++ b/hops/handle.go
@@ -31,6 +31,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		o := serve(g, r).WithCause(r.Context())
 		duplex.Allow(w, r)
+		RemoveOwnHeaders(o.Header)
 		running, waiting := g.Load()
 		w.Header().Set(loadHeader, strconv.Itoa(running)+","+strconv.Itoa(waiting))
 		w.Header().Set(runst.Header, string(o.Ran))
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -155,8 +155,7 @@
 		if err != nil {
 			return output.Lost(reason.InstanceLost, err.Error())
 		}
-		o.Header.Del(runst.Header)
-		o.Header.Del(loadHeader)
+		RemoveOwnHeaders(o.Header)
 		return o
 	}
 	detail, err := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
@@ -171,6 +170,14 @@
 	return output.Lost(cause, string(detail))
 }
 
+// RemoveOwnHeaders removes the headers by which a gate tells the outcome of a request. A
+// target isn't to speak for its gate.
+func RemoveOwnHeaders(h http.Header) {
+	for _, name := range []string{runst.Header, reasonHeader, loadHeader} {
+		h.Del(name)
+	}
+}
+
 // reportLoad calls onLoad with the load in the headers of a gate's response.
 func (p *Hops) reportLoad(peer string, h http.Header) {
 	running, waiting, ok := strings.Cut(h.Get(loadHeader), ",")
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -340,6 +340,7 @@
 func (e *Entry) finish(w http.ResponseWriter, q *request, o output.Output) {
 	e.record(q, o)
 	if o.HasResponse() {
+		hops.RemoveOwnHeaders(o.Header)
 		o.Write(w)
 		return
 	}
