The stand-in of a target completes no run that was cut short with an empty 200

Cause: net/http completes a response that wasn't begun as an empty 200; the stand-in wrote nothing for a cancelled run, or for a body that broke off. A mark in what entry and target wrote showed that it was the target's.

Change: 499 and 400.

--- a/target/serve.go
+++ b/target/serve.go
@@ -144,6 +144,7 @@
 	hash := xxhash.New()
 	uploaded, err := io.Copy(hash, r.Body)
 	if err != nil {
+		c.Response().WriteHeader(http.StatusBadRequest)
 		return uploaded, runrec.BodyCut
 	}
 	if isCrashRequest(r, behaviour.CrashMark) {
@@ -181,10 +182,12 @@
 }
 
 // respondInterrupted handles a run whose context ended. If the caller has
-// disconnected, it sends nothing and returns Cancelled. Otherwise the deadline
+// disconnected, it responds 499 and returns Cancelled: a caller that closed only its
+// sending side would take an empty 200 for the end of the run. Otherwise the deadline
 // has passed, and it responds 504 and returns TimedOut.
 func respondInterrupted(ctx context.Context, c echo.Context) string {
 	if c.Request().Context().Err() != nil {
+		c.Response().WriteHeader(reason.Cancelled.Status())
 		return runrec.Cancelled
 	}
 	if ctx.Err() != nil {
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -20,6 +21,7 @@
 	"bergamotloom.example/clock"
 	"bergamotloom.example/fill"
 	"bergamotloom.example/header"
+	"bergamotloom.example/reason"
 	"bergamotloom.example/runlog"
 	"bergamotloom.example/runrec"
 	"bergamotloom.example/runst"
@@ -203,3 +205,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, strings.TrimSpace(string(got.body)), `{"Running":0,"Slots":7}`)
 }
+
+// The response to a request that is cut short looks as if it had run to its end.
+func TestCutShortRunGetsAnEmptyResponse(t *testing.T) {
+	for _, c := range []struct {
+		request string
+		outcome string
+		status  int
+	}{
+		{"GET /stock/1 HTTP/1.1\r\nHost: x\r\n\r\n", runrec.Cancelled, reason.Cancelled.Status()},
+		{"POST /stock/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab", runrec.BodyCut, http.StatusBadRequest},
+	} {
+		t.Run(c.outcome, func(t *testing.T) {
+			f := serve(t, "", traits.Traits{Slots: 1, WorkMillis: 5000})
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(f.url, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(4*time.Second)))
+			_, err = io.WriteString(conn, c.request)
+			assert.NilError(t, err)
+			tcp, ok := conn.(*net.TCPConn)
+			assert.Assert(t, ok)
+			time.Sleep(50 * time.Millisecond)
+			assert.NilError(t, tcp.CloseWrite())
+			got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			defer func() { _ = got.Body.Close() }()
+			assert.Equal(t, got.StatusCode, c.status)
+			waitRuns(t, f, c.outcome)
+		})
+	}
+}
