Callers that are taken for gone get their refusal

Cause: the entry of a node wrote nothing for a cancelled request, and net/http completed that as an empty 200. A caller that closed its sending side only may still read.

Change: the entry writes the refusal, 499 with the run state.

TestCallerThatClosesItsSendingSideGetsAnEmptyResponse failed before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,12 +135,10 @@
 	metrics.GetOrRegisterTimer("Entry.Took", e.registry).Update(elapsed)
 }
 
-// refuse sends a refusal to the caller, unless the caller has disconnected.
+// refuse sends a refusal to the caller. A caller that is taken for gone gets it too, as
+// it may still receive: net/http completes a response that wasn't begun as an empty 200.
 func (e *Entry) refuse(x *exchange, stage string, r refuse.Refusal) {
 	metrics.GetOrRegisterCounter("Entry.Refused."+string(r.Reason), e.registry).Inc(1)
-	if r.Reason == reason.Cancelled {
-		return
-	}
 	e.log.Debug("entry: refused a request", "Stage", stage, "Reason", string(r.Reason), "Ran", string(r.Ran))
 	if err := r.Write(x.writer); err != nil {
 		e.log.Debug("entry: failed to send a refusal to the caller", "Error", err)
--- a/fleet/input_test.go
+++ b/fleet/input_test.go
@@ -16,6 +16,7 @@
 	"bergamotloom.example/fleet"
 	"bergamotloom.example/header"
 	"bergamotloom.example/layout"
+	"bergamotloom.example/reason"
 	"bergamotloom.example/runrec"
 	"bergamotloom.example/runst"
 )
@@ -132,6 +133,28 @@
 	return rawResponse{response.StatusCode, response.Header, string(body), reader}
 }
 
+// A caller that closes its sending side is taken for gone. It gets no empty response
+// that looks as if the request had been served.
+func TestCallerThatClosesItsSendingSideGetsAnEmptyResponse(t *testing.T) {
+	f := start(t, layout.New("c1").WithService("stock", 1, "--work-millis", "300"))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.Instances[0].Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(rawTimeout)))
+	_, err = io.WriteString(conn, "GET /stock/1 HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer "+apiKey+"\r\n\r\n")
+	assert.NilError(t, err)
+	// The node notices the end while the target runs the request.
+	time.Sleep(100 * time.Millisecond)
+	tcp, ok := conn.(*net.TCPConn)
+	assert.Assert(t, ok)
+	assert.NilError(t, tcp.CloseWrite())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, reason.Cancelled.Status())
+	assert.Equal(t, response.Header.Get(runst.Header), string(runst.Maybe))
+}
+
 func startUploadFleet(t *testing.T) *fleet.Fleet {
 	t.Helper()
 	f := startWithConfig(t, layout.New("c1").WithService("stock", 1, "--key-mark", "loom_"), uploadConfig)
