A deadline that passes in the queue isn't taken for a cancel

Cause: the gate of a node told an entry that a request whose time had run out in the queue was cancelled, so that the entry kept quiet towards a caller that still waited.

Change: DeadlineExceeded if the deadline has passed.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -6,6 +6,8 @@
 	"context"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"bergamotloom.example/bounds"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/envel"
@@ -75,10 +77,10 @@
 }
 
 // Admit waits until the gate admits or refuses the request. It also refuses with
-// NoInstance before SetTarget, and with Cancelled when ctx ends first. An
-// admitted request holds a slot, which end frees: succeeded reports whether
-// the response was complete, childMillis how long the target waited for calls of
-// its own.
+// NoInstance before SetTarget, and when ctx ends first: with DeadlineExceeded if its
+// deadline has passed, else with Cancelled. An admitted request holds a slot, which
+// end frees: succeeded reports whether the response was complete, childMillis how long
+// the target waited for calls of its own.
 func (a *Admitter) Admit(ctx context.Context, e envel.Envelope) (end func(succeeded bool, childMillis float64), r refuse.Refusal, admitted bool) {
 	settled := make(chan struct{})
 	t := &ticket.Ticket{
@@ -96,6 +98,9 @@
 	}
 	arrived := &admission{admitter: a, gate: g, ticket: t}
 	if !arrived.wait(ctx, settled) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil, refuse.New(reason.DeadlineExceeded), false
+		}
 		return nil, refuse.New(reason.Cancelled), false
 	}
 	if t.Refused() {
