Responses to HEAD requests have no body to read

Cause: the length was taken for that of a body, which seemed to be cut short. Ruled out by reading for 204 and 304: net/http gives them the length 0.

Change: no body is read of a response to HEAD; its length goes to the caller.

--- a/output/output.go
+++ b/output/output.go
@@ -28,6 +28,11 @@
 // ended early.
 func Read(response *http.Response, done func(complete bool)) (Output, error) {
 	o := Output{Ran: runst.Once, Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		// Its length is that of the body that a GET request would get.
+		done(true)
+		return o, nil
+	}
 	body, err := readStart(response)
 	if err != nil {
 		_ = response.Body.Close()
