A node answers an upload that stalls at its deadline

What callers saw: no answer to an upload whose sender stalls, at the entry of `bergamotloom node`.

Cause: the body was read before the deadline was known, without a limit of time.

Change: the deadline is set first, and reading ends there; the answer is 504 with `Never`.

TestStalledUploadIsNotAnsweredAtItsDeadline of package fleet failed before (no response within 5 s).

--- a/entry/body.go
+++ b/entry/body.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,8 +19,8 @@
 const maxBufferedBodyBytes = 64 * 1024
 
 // limitBody refuses a body over the route's limit, and buffers a body of known
-// length up to maxBufferedBodyBytes.
-func limitBody(_ *Entry, x *exchange) (refuse.Refusal, bool) {
+// length up to maxBufferedBodyBytes. Its sender may stall until the deadline.
+func limitBody(e *Entry, x *exchange) (refuse.Refusal, bool) {
 	request := x.request
 	if request.Body == nil || request.Body == http.NoBody {
 		return proceed()
@@ -34,10 +36,19 @@
 		duplex.Track(request)
 		return proceed()
 	}
+	c := http.NewResponseController(x.writer)
+	// An error says that reading can't be limited.
+	_ = c.SetReadDeadline(time.Now().Add(time.Duration(x.deadlineMillis-e.clock.Now()) * time.Millisecond))
 	buffered, err := io.ReadAll(request.Body)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuseWith(reason.DeadlineExceeded)
+	}
 	if err != nil {
 		return refuse.New(reason.BadRequest).WithDetail("The body broke off."), true
 	}
+	// The server goes on reading, to notice that the caller has gone, and would take a
+	// passed deadline for that.
+	_ = c.SetReadDeadline(time.Time{})
 	request.GetBody = func() (io.ReadCloser, error) {
 		return io.NopCloser(bytes.NewReader(buffered)), nil
 	}
--- a/fleet/input_test.go
+++ b/fleet/input_test.go
@@ -240,3 +240,19 @@
 		assert.Assert(t, !slices.Contains(last.Headers, name), "the target got %v", last.Headers)
 	}
 }
+
+// An upload whose sender stalls isn't answered for as long as the connection stays open.
+func TestStalledUploadIsNotAnsweredAtItsDeadline(t *testing.T) {
+	f := start(t, layout.New("c1").WithService("stock", 1))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.Instances[0].Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(rawTimeout)))
+	_, err = io.WriteString(conn, rawRequest("POST /book/1", "Content-Length: 1000", header.Timeout+": 700")+"u")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Equal(t, response.Header.Get(runst.Header), string(runst.Never))
+}
