A sidecar answers an upload that stalls at its deadline

What callers saw: an upload whose sender stalls had no answer until the connection closed; the node held the connection and up to 256 KB of the body all that time.

Cause: nothing limited how long a body is read: the deadline applied from the choice of an instance on.

--- a/hops/handle.go
+++ b/hops/handle.go
@@ -4,7 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"bergamotloom.example/accept"
 	"bergamotloom.example/duplex"
@@ -29,7 +33,7 @@
 // Handler serves the requests that other nodes send to the gate.
 func Handler(g gate) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		o := serve(g, r).WithCause(r.Context())
+		o := serve(g, w, r).WithCause(r.Context())
 		duplex.Allow(w, r)
 		RemoveOwnHeaders(o.Header)
 		running, waiting := g.Load()
@@ -46,7 +50,7 @@
 	})
 }
 
-func serve(g gate, r *http.Request) output.Output {
+func serve(g gate, w http.ResponseWriter, r *http.Request) output.Output {
 	if accept.IsExcess(r.Context()) {
 		return output.Refused(reason.Overloaded, "too many connections are open at the gate")
 	}
@@ -54,9 +58,9 @@
 	if err != nil {
 		return output.Refused(reason.BadRequest, err.Error())
 	}
-	body, writeRest, length, err := ReadBody(r)
+	body, writeRest, length, err := ReadBody(w, r, t.LeftMillis)
 	if err != nil {
-		return output.Refused(reason.BadRequest, err.Error())
+		return RefuseBody(err)
 	}
 	if socket.ClosedByPeer(r) {
 		return output.Refused(reason.Cancelled, "the sender has gone")
@@ -68,17 +72,28 @@
 // ReadBody reads up to bufferedBodyBytes of a request's body. If the body is
 // longer, writeRest writes the rest; else it's nil. Length is the length of the
 // whole body in bytes, or -1 if body and the rest are in chunked encoding.
-// ReadBody fails if the body can't be read.
-func ReadBody(r *http.Request) (body []byte, writeRest func(io.Writer) error, length int64, err error) {
+// ReadBody fails if the body can't be read, or if that takes longer than leftMillis, as
+// its sender may have stalled. RefuseBody gives the refusal for its error.
+func ReadBody(w http.ResponseWriter, r *http.Request, leftMillis float64) (body []byte, writeRest func(io.Writer) error, length int64, err error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil, 0, nil
 	}
+	duplex.Track(r)
+	c := http.NewResponseController(w)
+	// An error says that reading can't be limited.
+	_ = c.SetReadDeadline(time.Now().Add(time.Duration(leftMillis * float64(time.Millisecond))))
+	defer func() {
+		if err == nil {
+			// The server goes on reading, to notice that the sender has gone, and would take
+			// a passed deadline for that.
+			_ = c.SetReadDeadline(time.Time{})
+		}
+	}()
 	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, body)
 		return body, nil, r.ContentLength, err
 	}
-	duplex.Track(r)
 	body, err = io.ReadAll(io.LimitReader(r.Body, bufferedBodyBytes))
 	if err != nil {
 		return nil, nil, 0, err
@@ -97,3 +112,11 @@
 	}
 	return heads.EncodeChunk(body), func(w io.Writer) error { return heads.CopyChunks(w, r.Body) }, -1, nil
 }
+
+// RefuseBody returns the refusal of a request whose body couldn't be read.
+func RefuseBody(err error) output.Output {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return output.Refused(reason.DeadlineExceeded, "the body wasn't complete in time")
+	}
+	return output.Refused(reason.BadRequest, "the body broke off")
+}
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -140,7 +140,8 @@
 // request is one request that the entry handles.
 type request struct {
 	*http.Request
-	id string
+	writer http.ResponseWriter
+	id     string
 	// startedAt and deadline are in milliseconds of the node's clock. The
 	// deadline is 0 until the route and team are known.
 	startedAt float64
@@ -169,7 +170,7 @@
 
 // ServeHTTP serves one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{Request: r, startedAt: e.clock.Fine(), id: r.Header.Get(e.headerNames.RequestID)}
+	q := &request{Request: r, writer: w, startedAt: e.clock.Fine(), id: r.Header.Get(e.headerNames.RequestID)}
 	o := e.handle(q).WithCause(r.Context())
 	duplex.Allow(w, r)
 	e.finish(w, q, o)
@@ -201,8 +202,8 @@
 		}
 	}
 	var err error
-	if q.body, q.writeRest, q.length, err = hops.ReadBody(q.Request); err != nil {
-		return output.Refused(reason.BadRequest, "the body broke off")
+	if q.body, q.writeRest, q.length, err = hops.ReadBody(q.writer, q.Request, q.deadline-e.clock.Fine()); err != nil {
+		return hops.RefuseBody(err)
 	}
 	if socket.ClosedByPeer(q.Request) {
 		return output.Refused(reason.Cancelled, "the caller has gone")
