The refusal of an upload doesn't wait for a stalled body

What callers saw: no answer to an upload that is refused before its body was read, for as long as its sender stalls.

Cause: the server of net/http reads up to 256 KB of such a body before it writes the response.

Change: half a second at most; then it responds and closes the connection.

TestRefusalOfAStalledUploadWaits failed before (no response within 5 s).

--- a/duplex/duplex.go
+++ b/duplex/duplex.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -31,6 +32,21 @@
 	r.Body = &Body{ReadCloser: r.Body}
 }
 
+// discardTimeout is how long the server may wait for a body that nobody reads.
+const discardTimeout = 500 * time.Millisecond
+
+// Discard must be called before the response to a request whose body nobody has begun to
+// read. The server reads up to 256 KB of such a body first, to keep the connection; if its
+// sender stalls, it responds after discardTimeout and closes the connection.
+func Discard(w http.ResponseWriter, r *http.Request) {
+	if _, ok := r.Body.(*Body); ok || r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	// An error says that reading can't be limited. The server removes the limit once the
+	// body has ended.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+}
+
 // Allow must be called before the response to a request with a tracked body is begun.
 // Otherwise the server reads what is left of the body before it writes the response,
 // while that rest is still being forwarded: each would get only a part.
--- a/hops/handle.go
+++ b/hops/handle.go
@@ -34,6 +34,7 @@
 func Handler(g gate) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		o := serve(g, w, r).WithCause(r.Context())
+		duplex.Discard(w, r)
 		duplex.Allow(w, r)
 		RemoveOwnHeaders(o.Header)
 		running, waiting := g.Load()
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -172,6 +172,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, writer: w, startedAt: e.clock.Fine(), id: r.Header.Get(e.headerNames.RequestID)}
 	o := e.handle(q).WithCause(r.Context())
+	duplex.Discard(w, r)
 	duplex.Allow(w, r)
 	e.finish(w, q, o)
 }
