The bodies that a node holds are bounded to a sixth of its memory

What callers saw: many uploads at once take all of a node's memory; a process that takes more than it may is killed, with the requests of all others there.

Package body holds a body as it's forwarded, in place of three values.

--- a/hops/hops.go
+++ b/hops/hops.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 
+	"bergamotloom.example/body"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
 	"bergamotloom.example/heads"
@@ -124,11 +125,11 @@
 // outcome. Reached is false if the request couldn't be sent or the connection
 // ended early, before the deadline. It's true if a response came, or if the
 // caller or the deadline ended the wait for it.
-func (p *Hops) Do(ctx context.Context, peer, address string, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip) (o output.Output, reached bool) {
+func (p *Hops) Do(ctx context.Context, peer, address string, r *http.Request, h http.Header, b body.Body, t trip.Trip) (o output.Output, reached bool) {
 	deadline := p.clock.Fine() + t.LeftMillis
 	h.Set(trip.Header, t.Encode())
-	request := append(heads.AppendHead(nil, r, h, length), body...)
-	response, done, sent, err := p.pool(address).Do(ctx, r.Method, request, writeRest, func(*http.Response, bool) bool { return true }, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
+	request := append(heads.AppendHead(nil, r, h, b.Length), b.Start...)
+	response, done, sent, err := p.pool(address).Do(ctx, r.Method, request, b.WriteRest, func(*http.Response, bool) bool { return true }, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
 	switch {
 	case err == nil:
 	case !sent && p.clock.Fine() >= deadline:
--- a/inbnd/inbnd.go
+++ b/inbnd/inbnd.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"bergamotloom.example/body"
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
@@ -134,10 +135,8 @@
 }
 
 // Do runs a request at the target as soon as a slot is free, and returns its
-// outcome: a response, a refusal or a lost request. Length is the length of the
-// whole body in bytes, or -1 if it's sent in chunks. If body is only the
-// beginning of the whole body, writeRest writes the rest; else it's nil.
-func (g *Gate) Do(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip) output.Output {
+// outcome: a response, a refusal or a lost request.
+func (g *Gate) Do(ctx context.Context, r *http.Request, h http.Header, b body.Body, t trip.Trip) output.Output {
 	arrivedAt := g.clock.Fine()
 	g.recordArrival(t)
 	target, ok := g.current()
@@ -163,15 +162,15 @@
 	if leftMillis < 1 {
 		return output.Refused(reason.DeadlineExceeded, "at the gate")
 	}
-	return g.run(ctx, r, h, body, writeRest, length, t, target, leftMillis)
+	return g.run(ctx, r, h, b, t, target, leftMillis)
 }
 
-func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip, target notice.Notice, leftMillis float64) output.Output {
+func (g *Gate) run(ctx context.Context, r *http.Request, h http.Header, b body.Body, t trip.Trip, target notice.Notice, leftMillis float64) output.Output {
 	g.setHeaders(h, t, target.Target, leftMillis)
 	g.recordSent()
 	startedAt := g.clock.Fine()
 	deadline := startedAt + leftMillis
-	request := append(heads.AppendHead(nil, r, h, length), body...)
+	request := append(heads.AppendHead(nil, r, h, b.Length), b.Start...)
 	id := h.Get(g.dialect.RequestID)
 	g.runningRequests.Begin(id, t)
 	defer g.runningRequests.End(id)
@@ -180,7 +179,7 @@
 		isFirst = first
 		return g.isResponseTo(response, id)
 	}
-	response, done, sent, err := g.pool.Do(ctx, r.Method, request, writeRest, accept, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
+	response, done, sent, err := g.pool.Do(ctx, r.Method, request, b.WriteRest, accept, deadline+responseGraceMillis) //nolint:bodyclose // readResponse closes it.
 	if err != nil {
 		o := g.noResponse(ctx, target.Target, deadline, sent, err)
 		if o.Ran == runst.Maybe {
--- a/inbnd/response_test.go
+++ b/inbnd/response_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"bergamotloom.example/body"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/conns"
 	"bergamotloom.example/crash"
@@ -98,7 +99,7 @@
 	assert.NilError(t, err)
 	r.RequestURI = "/"
 	h := http.Header{"Request-Id": {id}}
-	o := g.Do(t.Context(), r, h, nil, nil, 0, trip.Trip{Service: "stock", LeftMillis: leftMillis, ObjectiveMillis: leftMillis, Idempotent: true})
+	o := g.Do(t.Context(), r, h, body.Body{}, trip.Trip{Service: "stock", LeftMillis: leftMillis, ObjectiveMillis: leftMillis, Idempotent: true})
 	if o.Close != nil {
 		o.Close()
 	}
--- a/inbnd/suspect_test.go
+++ b/inbnd/suspect_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bergamotloom.example/body"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/crash"
 	"bergamotloom.example/inbnd"
@@ -36,7 +37,7 @@
 	assert.NilError(t, err)
 	r.RequestURI = "/"
 	h := http.Header{"Request-Id": {"a"}}
-	o := g.Do(t.Context(), r, h, nil, nil, 0, trip.Trip{Service: "stock", LeftMillis: 1000, ObjectiveMillis: 1000, Idempotent: true, Fingerprint: fingerprint})
+	o := g.Do(t.Context(), r, h, body.Body{}, trip.Trip{Service: "stock", LeftMillis: 1000, ObjectiveMillis: 1000, Idempotent: true, Fingerprint: fingerprint})
 	if o.Rest != nil {
 		_, _ = io.Copy(io.Discard, o.Rest)
 	}
--- a/outbnd/outbnd.go
+++ b/outbnd/outbnd.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -19,6 +18,7 @@
 
 	"bergamotloom.example/accept"
 	"bergamotloom.example/advice"
+	"bergamotloom.example/body"
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
@@ -28,6 +28,7 @@
 	"bergamotloom.example/grade"
 	"bergamotloom.example/heads"
 	"bergamotloom.example/hops"
+	"bergamotloom.example/intake"
 	"bergamotloom.example/keys"
 	"bergamotloom.example/output"
 	"bergamotloom.example/parent"
@@ -70,7 +71,7 @@
 
 // gate is the node's own gate.
 type gate interface {
-	Do(ctx context.Context, r *http.Request, h http.Header, body []byte, writeRest func(io.Writer) error, length int64, t trip.Trip) output.Output
+	Do(ctx context.Context, r *http.Request, h http.Header, b body.Body, t trip.Trip) output.Output
 }
 
 // Entry serves callers. It's safe for use by multiple goroutines.
@@ -84,6 +85,7 @@
 	service  string
 	config   func() *config.Config
 	gate     gate
+	intake   *intake.Intake
 	hops     *hops.Hops
 	picker   *picker.Picker
 	screen   *screen.Screen
@@ -111,7 +113,7 @@
 // configuration is known. Seed seeds the split of routes over services.
 func New(
 	clock clock.Clock, headerNames dialct.Dialect, self, service string, retryRatio float64, config func() *config.Config,
-	gate gate, hops *hops.Hops, picker *picker.Picker, screen *screen.Screen, ration *ration.Ration,
+	gate gate, intake *intake.Intake, hops *hops.Hops, picker *picker.Picker, screen *screen.Screen, ration *ration.Ration,
 	parents *parent.Registry, suspects *crash.Suspects, seed uint64, log *slog.Logger, registry metrics.Registry,
 ) *Entry {
 	address, _, _ := net.SplitHostPort(self)
@@ -123,6 +125,7 @@
 		address:      address,
 		config:       config,
 		gate:         gate,
+		intake:       intake,
 		hops:         hops,
 		picker:       picker,
 		screen:       screen,
@@ -151,12 +154,7 @@
 	trip      trip.Trip
 	// configVersion is the version of the configuration that the request uses.
 	configVersion int64
-	// body is the part that was read before the request is sent on. For a long
-	// body writeRest sends what follows, which it can do only once; else it's
-	// nil. length is that of the whole body, or -1 if unknown.
-	body      []byte
-	writeRest func(io.Writer) error
-	length    int64
+	body          body.Body
 	// peer and target are the node and the target of the last offer.
 	peer   string
 	target string
@@ -172,6 +170,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, writer: w, startedAt: e.clock.Fine(), id: r.Header.Get(e.headerNames.RequestID)}
 	o := e.handle(q).WithCause(r.Context())
+	defer q.body.Release()
 	duplex.Discard(w, r)
 	duplex.Allow(w, r)
 	e.finish(w, q, o)
@@ -203,8 +202,8 @@
 		}
 	}
 	var err error
-	if q.body, q.writeRest, q.length, err = hops.ReadBody(q.writer, q.Request, q.deadline-e.clock.Fine()); err != nil {
-		return hops.RefuseBody(err)
+	if q.body, err = e.intake.Read(q.writer, q.Request, q.deadline-e.clock.Fine()); err != nil {
+		return intake.Refuse(err)
 	}
 	if socket.ClosedByPeer(q.Request) {
 		return output.Refused(reason.Cancelled, "the caller has gone")
@@ -311,11 +310,11 @@
 		t := q.trip.WithElapsed(e.clock.Fine()-q.startedAt).
 			WithRateLimit(card.Hash(c.Target), float64(c.RateLimit), float64(c.RateLimitAgeMillis))
 		if c.Peers == e.self {
-			last = e.gate.Do(q.Context(), q.Request, q.Header, q.body, q.writeRest, q.length, t)
+			last = e.gate.Do(q.Context(), q.Request, q.Header, q.body, t)
 			e.picker.Done(c.Peers, true)
 		} else {
 			var reached bool
-			last, reached = e.hops.Do(q.Context(), c.Peers, c.Hops, q.Request, q.Header, q.body, q.writeRest, q.length, t)
+			last, reached = e.hops.Do(q.Context(), c.Peers, c.Hops, q.Request, q.Header, q.body, t)
 			e.picker.Done(c.Peers, reached)
 			e.recordLost(q, c, last, reached, sentAt)
 		}
--- a/outbnd/retry.go
+++ b/outbnd/retry.go
@@ -50,7 +50,7 @@
 // charges the retry budget if that is a retry.
 func (e *Entry) allowRetry(q *request, o output.Output) bool {
 	remaining := q.deadline - e.clock.Fine()
-	if q.writeRest != nil || remaining < minRemainingMillis || q.Context().Err() != nil {
+	if q.body.WriteRest != nil || remaining < minRemainingMillis || q.Context().Err() != nil {
 		return false
 	}
 	if o.Ran == runst.Never && o.Reason != reason.TargetRefused {
--- a/outbnd/retry_test.go
+++ b/outbnd/retry_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bergamotloom.example/body"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/crash"
 	"bergamotloom.example/output"
@@ -67,11 +68,11 @@
 	_, ok = e.checkCrashSuspect(q)
 	assert.Assert(t, ok)
 	q.Header.Set("Authorization", "Bearer k")
-	q.body = []byte("x")
+	q.body = body.Body{Start: []byte("x"), Length: 1}
 	_, ok = e.checkCrashSuspect(q)
 	assert.Assert(t, ok)
 	// A response from a target clears the suspicion.
-	q.body = nil
+	q.body = body.Body{}
 	_, ok = e.checkCrashSuspect(q)
 	assert.Assert(t, !ok)
 	e.suspects.ResponseReceived(q.trip.Fingerprint)
--- a/outbnd/suspect.go
+++ b/outbnd/suspect.go
@@ -54,6 +54,6 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(q.body)
+	_, _ = h.Write(q.body.Start)
 	return strconv.FormatUint(h.Sum64(), 36)
 }
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -89,6 +89,7 @@
 		"limits.known":          int64(n.picker.RateLimits()),
 		"target.connections":    n.pool.Opened(),
 		"hops.idle":             int64(n.hops.Idle()),
+		"bodies.bytes":          n.intake.HeldBytes(),
 		"peers.known":           int64(peers),
 		"peers.heard":           int64(live),
 		"requests.active":       n.active.Load(),
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -28,6 +28,7 @@
 	"bergamotloom.example/follow"
 	"bergamotloom.example/hops"
 	"bergamotloom.example/inbnd"
+	"bergamotloom.example/intake"
 	"bergamotloom.example/mesh"
 	"bergamotloom.example/meter"
 	"bergamotloom.example/notice"
@@ -54,6 +55,10 @@
 	// status card is considered the only one: peers send their cards to
 	// silent nodes once a second.
 	onlyNodeMillis = 1500
+	// bodiesDivisor is the divisor of the node's memory that gives how much of it bodies
+	// of requests may take. Each is copied once when it's sent, and twice that is left
+	// for the rest of the process and for garbage.
+	bodiesDivisor = 6
 	// busyMillis is how long after its last request a node counts as busy. A
 	// busy node sends its status card more often.
 	busyMillis = 1000
@@ -77,6 +82,8 @@
 	picker  *picker.Picker
 	screen  *screen.Screen
 	hops    *hops.Hops
+	// intake bounds the memory that the bodies of requests take.
+	intake *intake.Intake
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
@@ -145,8 +152,9 @@
 	n.picker = picker.New(c, p.Centre, seed)
 	n.screen = screen.New(c, seed)
 	n.hops = hops.New(c, n.maxSockets()/idleHopsDivisor, n.picker.UpdateLoad)
+	n.intake = intake.New(p.MemoryBytes / bodiesDivisor)
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
-		n.gate, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
+		n.gate, n.intake, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
 	n.mesh, err = mesh.New(self, c, seed, log, n.describe, n.busy, n.learn, n.learnOwn, n.forget)
 	return n, err
