The heads that a node holds are bounded to a twelfth of its memory

Callers, or a server that calls through the node beside it, could take all of a node's memory with heads of very many headers; a process that takes more than it may is killed, with the requests of all others there.

Cause: heads were bounded by their bytes, and a parsed header takes about 120 bytes beside its own.

Change: package guard counts what heads take while they're read, at all ports of a sidecar; what is beyond the bound gets 503 with `Never`, but for the first 8 KB of each head.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -91,7 +91,7 @@
 				return c, nil
 			}
 			// Resets the connection, so that the caller learns at once.
-			if tcp, ok := c.(*net.TCPConn); ok {
+			if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = c.Close()
--- a/hops/hops.go
+++ b/hops/hops.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -179,6 +180,13 @@
 	}
 }
 
+// Refusal returns the whole response of a gate that refuses a request without having read
+// it. It says the same to a caller.
+func Refusal(r reason.Reason) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n%s: %s\r\n%s: %s\r\n\r\n",
+		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), runst.Header, runst.Never, reasonHeader, r)
+}
+
 // reportLoad calls onLoad with the load in the headers of a gate's response.
 func (p *Hops) reportLoad(peer string, h http.Header) {
 	running, waiting, ok := strings.Cut(h.Get(loadHeader), ",")
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -90,6 +90,8 @@
 		"target.connections":    n.pool.Opened(),
 		"hops.idle":             int64(n.hops.Idle()),
 		"bodies.bytes":          n.intake.HeldBytes(),
+		"heads.bytes":           n.guard.HeldBytes(),
+		"heads.refused":         n.guard.Refused(),
 		"peers.known":           int64(peers),
 		"peers.heard":           int64(live),
 		"requests.active":       n.active.Load(),
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "node: listening on the port for %s", p.name)
 		}
-		n.ports[p.name] = accept.New(l, p.name, n.maxOpen(p.name), n.clock, n.log)
+		n.ports[p.name] = accept.New(n.guard.Listen(l), p.name, n.maxOpen(p.name), n.clock, n.log)
 	}
 	var servers []*http.Server
 	for _, p := range ports {
@@ -83,7 +83,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         a.ConnState,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			n.guard.ConnState(c, s)
+			a.ConnState(c, s)
+		},
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return a.ConnContext(socket.Context(ctx, c), c)
 		},
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -26,6 +26,7 @@
 	"bergamotloom.example/facts"
 	"bergamotloom.example/feed"
 	"bergamotloom.example/follow"
+	"bergamotloom.example/guard"
 	"bergamotloom.example/hops"
 	"bergamotloom.example/inbnd"
 	"bergamotloom.example/intake"
@@ -37,6 +38,7 @@
 	"bergamotloom.example/parent"
 	"bergamotloom.example/picker"
 	"bergamotloom.example/ration"
+	"bergamotloom.example/reason"
 	"bergamotloom.example/screen"
 	"bergamotloom.example/watch"
 )
@@ -59,6 +61,8 @@
 	// of requests may take. Each is copied once when it's sent, and twice that is left
 	// for the rest of the process and for garbage.
 	bodiesDivisor = 6
+	// headsDivisor is the same for heads, which are copied once too.
+	headsDivisor = 12
 	// busyMillis is how long after its last request a node counts as busy. A
 	// busy node sends its status card more often.
 	busyMillis = 1000
@@ -84,6 +88,8 @@
 	hops    *hops.Hops
 	// intake bounds the memory that the bodies of requests take.
 	intake *intake.Intake
+	// guard bounds the memory that their heads take.
+	guard *guard.Guard
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
@@ -153,6 +159,7 @@
 	n.screen = screen.New(c, seed)
 	n.hops = hops.New(c, n.maxSockets()/idleHopsDivisor, n.picker.UpdateLoad)
 	n.intake = intake.New(p.MemoryBytes / bodiesDivisor)
+	n.guard = guard.New(p.MemoryBytes/headsDivisor, hops.Refusal(reason.Overloaded))
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
 		n.gate, n.intake, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -19,7 +19,7 @@
 // Context stores the connection in the context of the requests that arrive on
 // it. It's used as the ConnContext of an HTTP server.
 func Context(ctx context.Context, c net.Conn) context.Context {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return ctx
 	}
