--- a/node/ports.go
+++ b/node/ports.go
@@ -13,7 +13,10 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/guard"
 	"bergamotloom.example/links"
+	"bergamotloom.example/reason"
+	"bergamotloom.example/refuse"
 	"bergamotloom.example/secret"
 	"bergamotloom.example/setup"
 )
@@ -23,6 +26,9 @@
 	headerTimeoutMillis = 5_000
 	idleTimeoutMillis   = 120_000
 	maxHeaderBytes      = 32 * 1024
+	// maxHeadsBytes bounds the memory that the heads of requests take, together at the
+	// ports for callers and for the target.
+	maxHeadsBytes = 8 << 20
 	// maxPeerStreams is the max number of concurrent requests on a peer's
 	// connection.
 	maxPeerStreams = 4096
@@ -39,13 +45,18 @@
 	peers     net.Listener
 	operators net.Listener
 
+	// guard counts the heads of requests.
+	guard        *guard.Guard
 	tls          *tls.Config
 	serveControl func(net.Conn)
 	servers      map[net.Listener]*http.Server
 }
 
 func openPorts(ctx context.Context, s setup.Setup) (*ports, error) {
-	p := &ports{servers: make(map[net.Listener]*http.Server)}
+	p := &ports{
+		guard:   guard.New(maxHeadsBytes, refuse.New(reason.Overloaded).Text()),
+		servers: make(map[net.Listener]*http.Server),
+	}
 	listens := []struct {
 		address  string
 		listener *net.Listener
@@ -61,6 +72,7 @@
 		}
 		*l.listener = listener
 	}
+	p.callers, p.local = p.guard.Listen(p.callers), p.guard.Listen(p.local)
 	return p, nil
 }
 
@@ -94,6 +106,9 @@
 	failed := make(chan error, len(p.servers)+4)
 	p.servers[p.callers] = newServer(catchAll(n.entry.CallerHandler()), n.log)
 	p.servers[p.local] = newServer(n.localHandler(), n.log)
+	for _, l := range []net.Listener{p.callers, p.local} {
+		p.servers[l].ConnState = p.guard.ConnState
+	}
 	p.servers[p.operators] = newServer(n.operatorsHandler(), n.log)
 	p.servers[p.peers] = p.peerServer(n)
 	for l, s := range p.servers {
--- a/refuse/refuse.go
+++ b/refuse/refuse.go
@@ -3,7 +3,9 @@
 package refuse
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -62,18 +64,39 @@
 // header and, for 429 and 503, Retry-After in whole seconds, rounded up and at
 // least 1. It returns the error of writing the body.
 func (r Refusal) Write(w http.ResponseWriter) error {
-	status := r.Reason.Status()
-	h := w.Header()
+	r.setHeaders(w.Header())
+	w.WriteHeader(r.Reason.Status())
+	return r.writeBody(w)
+}
+
+// Text returns the refusal as a whole response that closes its connection, for requests
+// that net/http hasn't read yet.
+func (r Refusal) Text() string {
+	var body, text bytes.Buffer
+	// Neither fails, as buffers don't.
+	_ = r.writeBody(&body)
+	response := http.Response{
+		ProtoMajor: 1, ProtoMinor: 1, StatusCode: r.Reason.Status(), Header: make(http.Header),
+		ContentLength: int64(body.Len()), Body: io.NopCloser(&body), Close: true,
+	}
+	r.setHeaders(response.Header)
+	_ = response.Write(&text)
+	return text.String()
+}
+
+func (r Refusal) setHeaders(h http.Header) {
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(runst.Header, string(r.Ran))
-	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+	if status := r.Reason.Status(); status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatInt(r.retryAfterSeconds(), 10))
 	}
-	w.WriteHeader(status)
+}
+
+func (r Refusal) writeBody(w io.Writer) error {
 	return json.NewEncoder(w).Encode(problem{
 		Type:   "urn:bergamotloom:refusal:" + string(r.Reason),
 		Title:  r.Reason.Text(),
-		Status: status,
+		Status: r.Reason.Status(),
 		Detail: r.Detail,
 		Reason: string(r.Reason),
 		Ran:    string(r.Ran),
