The handling of a request ends its head, also if that was read with the one before it

What callers saw: 503 with `Never`, which isn't true, in the middle of a long upload that runs.

Cause: the guard took what follows a blank line for the body, and what follows a response for the next head. A head that net/http has in its buffer by then (pipelining, or the rest of a body that was answered early) is followed by its body only, which was counted as a head.

Change: the guard learns from the server's handler that the head has ended. net/http reads a body in the handler only, so that no byte of one is counted any more.

TestBodyOfAPipelinedRequestIsTakenForAHead failed before (503 in place of 200), passes five times with the race detector; the platform's tests of heads, uploads, refusals and planned stops pass.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +57,7 @@
 }
 
 // Listen returns the listener with connections whose heads are counted, if it's one for
-// TCP. The server of the port must pass the states of its connections to ConnState.
+// TCP. The server of the port must have been given to Watch.
 func (g *Guard) Listen(l net.Listener) net.Listener {
 	if tcp, ok := l.(*net.TCPListener); ok {
 		return &listener{tcp, g}
@@ -64,12 +65,32 @@
 	return l
 }
 
-// ConnState takes in the state of a connection. It's the callback of the same name of the
-// port's server.
-func (g *Guard) ConnState(c net.Conn, s http.ConnState) {
-	if c, ok := c.(*conn); ok && (s == http.StateIdle || s == http.StateClosed) {
-		c.reset()
+type key struct{}
+
+// Watch adds to the handler and the callbacks of a server what tells where the heads on its
+// connections begin and end. It must be called before the server is used.
+func (g *Guard) Watch(s *http.Server) {
+	connState, connContext, handler := s.ConnState, s.ConnContext, s.Handler
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if counted, ok := c.(*conn); ok && (state == http.StateIdle || state == http.StateClosed) {
+			counted.reset()
+		}
+		if connState != nil {
+			connState(c, state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, key{}, c)
 	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(key{}).(*conn); ok {
+			c.endHead()
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 type listener struct {
@@ -148,6 +169,14 @@
 	return true
 }
 
+// endHead ends the head of a request that is being handled, also if its end was read
+// together with the request before it: what follows is its body.
+func (c *conn) endHead() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.hasEnded = true
+}
+
 // reset ends the count of a head; the next one may follow.
 func (c *conn) reset() {
 	c.mutex.Lock()
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -22,12 +22,13 @@
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &http.Server{
-		ReadHeaderTimeout: time.Second, ConnState: g.ConnState,
+		ReadHeaderTimeout: time.Second,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			_, _ = w.Write(body)
 		}),
 	}
+	g.Watch(s)
 	go func() { _ = s.Serve(g.Listen(l)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
@@ -83,3 +84,28 @@
 	}
 	assert.Equal(t, g.Refused(), int64(0))
 }
+
+// A body whose head came with the request before it is taken for a head, and refused as not
+// run while its request runs.
+func TestBodyOfAPipelinedRequestIsTakenForAHead(t *testing.T) {
+	g := guard.New(1000, refusal)
+	c := serve(t, g)
+	reader := bufio.NewReader(c)
+	const length = 200_000
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n")
+	assert.NilError(t, err)
+	for _, want := range []int{0, length} {
+		if want > 0 {
+			_, err = io.WriteString(c, strings.Repeat("x\n", want/2))
+			assert.NilError(t, err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, len(got), want)
+	}
+	assert.Equal(t, g.Refused(), int64(0))
+}
--- a/node/ports.go
+++ b/node/ports.go
@@ -107,7 +107,7 @@
 	p.servers[p.callers] = newServer(catchAll(n.entry.CallerHandler()), n.log)
 	p.servers[p.local] = newServer(n.localHandler(), n.log)
 	for _, l := range []net.Listener{p.callers, p.local} {
-		p.servers[l].ConnState = p.guard.ConnState
+		p.guard.Watch(p.servers[l])
 	}
 	p.servers[p.operators] = newServer(n.operatorsHandler(), n.log)
 	p.servers[p.peers] = p.peerServer(n)
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -83,15 +83,13 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState: func(c net.Conn, s http.ConnState) {
-			n.guard.ConnState(c, s)
-			a.ConnState(c, s)
-		},
+		ConnState:         a.ConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return a.ConnContext(socket.Context(ctx, c), c)
 		},
 		BaseContext: func(net.Listener) context.Context { return n.requests },
 	}
+	n.guard.Watch(s)
 	go func() {
 		if port == callersPort {
 			s.IdleTimeout = n.callerIdleTimeout()
