Logs and metrics tell who watches the store, and how old its last response is

Cause: the three hypotheses about the late configuration differ in which nodes call the store at that moment, and in how old their last response is. Neither was in logs or metrics.

Change: a line `watch: duty` when a node begins or ends to watch the store for the fleet, with what decided it; `SinceResponseMillis` in lines of a lost store and of a version that comes into force, `CallMillis` for how long the lost call took; the gauge config.response.age.millis.

Measured: builds; the tests of duty and sidecr pass.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -25,6 +25,10 @@
 	Watches bool
 	// Probes says that the node, which can't reach the store, tries again and again.
 	Probes bool
+	// Reaching and Losing are the numbers of nodes before this one that reach the store
+	// and that don't, which decided it.
+	Reaching int
+	Losing   int
 }
 
 // Of returns the duty of the node that peers know as self, by the cards of its peers
@@ -43,8 +47,11 @@
 			reaching++
 		}
 	}
+	d := Duty{Reaching: reaching, Losing: losing}
 	if lost {
-		return Duty{Probes: losing < proberCount}
+		d.Probes = losing < proberCount
+	} else {
+		d.Watches = reaching < watcherCount && reaching+losing < candidateCount
 	}
-	return Duty{Watches: reaching < watcherCount && reaching+losing < candidateCount}
+	return d
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -64,6 +64,12 @@
 	return 0
 }
 
+// SinceResponseMillis returns how long ago the store last responded to this node about
+// the configuration, or -1 if it never did.
+func (f *Follow) SinceResponseMillis() int64 {
+	return f.watch.SinceResponseMillis()
+}
+
 // Content returns the configuration in force as the operator wrote it, or nil
 // if there's none. It must not be modified.
 func (f *Follow) Content() []byte {
@@ -86,7 +92,7 @@
 		// Updates the rates before the keys of the new version can be used.
 		f.onChange(c)
 		f.current.Store(c)
-		f.log.Info("follow: configuration in force", "Version", c.Version(), "Before", before, "From", from)
+		f.log.Info("follow: configuration in force", "Version", c.Version(), "Before", before, "From", from, "SinceResponseMillis", f.watch.SinceResponseMillis())
 	}
 	return nil
 }
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -75,7 +75,9 @@
 	for name, value := range map[string]int64{
 		"config.version": n.follow.Version(),
 		"store.calls":    n.storeCalls(),
-		"store.era":      n.store.Era(),
+		// -1 before the first response.
+		"config.response.age.millis": n.follow.SinceResponseMillis(),
+		"store.era":                  n.store.Era(),
 		// -1 until the node's row is written for the first time.
 		"store.written.era": n.writtenEra.Load(),
 		"store.rewritten":   n.rewritten.Load(),
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,6 +82,10 @@
 	// calledMillis is when the store was last called.
 	calledMillis int64
 	storeLost    bool
+	// logged is the duty that was last logged.
+	logged duty.Duty
+	// respondedMillis is when the store last responded; 0 before that.
+	respondedMillis atomic.Int64
 }
 
 // New returns a watch of a table. It passes the rows that were read or have changed
@@ -103,6 +108,7 @@
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		d := w.fleet.Duty()
+		w.logDuty(d)
 		reason, due := w.isDue(d)
 		if !due {
 			w.sleep(ctx, dutyCheckDelay)
@@ -122,6 +128,7 @@
 			w.sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err == nil:
+			w.respondedMillis.Store(w.clock.Now())
 			w.logRegained()
 			retryDelay = minRetryDelay
 		}
@@ -179,10 +186,27 @@
 	return time.Duration(w.minWaitMillis+rand.IntN(w.minWaitMillis)) * time.Millisecond
 }
 
+// SinceResponseMillis returns how long ago the store last responded to this node about
+// the table, or -1 if it never did.
+func (w *Watch) SinceResponseMillis() int64 {
+	if responded := w.respondedMillis.Load(); responded != 0 {
+		return w.clock.Since(responded)
+	}
+	return -1
+}
+
+// logDuty logs whether the node calls the store for the fleet, when that changes.
+func (w *Watch) logDuty(d duty.Duty) {
+	if d.Watches != w.logged.Watches || d.Probes != w.logged.Probes {
+		w.log.Info("watch: duty", "Table", w.table, "Watches", d.Watches, "Probes", d.Probes, "Reaching", d.Reaching, "Losing", d.Losing, "SinceResponseMillis", w.SinceResponseMillis())
+	}
+	w.logged = d
+}
+
 func (w *Watch) logLost(err error) {
 	if !w.storeLost {
 		w.storeLost = true
-		w.log.Warn("watch: store lost", "Table", w.table, "Error", err.Error())
+		w.log.Warn("watch: store lost", "Table", w.table, "Error", err.Error(), "CallMillis", w.clock.Since(w.calledMillis), "SinceResponseMillis", w.SinceResponseMillis())
 	}
 }
 
