Nodes know how old their knowledge of the store is, and ask before it's too old

Cause: four nodes watch the store for all with long polls of 6 to 12 s. A poll without response looks the same whether nothing has changed or its path is dead; the other nodes took the silence of the watchers for "nothing has changed". With all watchers cut off, or on silent connections, nobody asked for 3 s and more.

Change: package fresh. Each node knows as of when the store had nothing newer than what it has. The first watcher confirms that at 0.35 of the settings' bound config_apply (0.7 s), cards pass it on with its age and the position in the store's history. A node whose last confirmation is older than 0.55 of the bound asks itself, with a call that transfers changes only. The number of nodes that ask grows exponentially, within 0.15 of the bound, so few do if one of the first gets through. Long polls end when they're of no use: another call has failed, or the knowledge gets too old. A node with news sends its card at once, also at rest. The other watchers' polls are longer (14 to 28 s), as they no longer have to notice silence.

Why it works: each node's own clock bounds the age, whatever others do or say. At the worst moment a node asks after 1.4 s, and once more 0.25 s later if a connection was silent.

--- a/card/card.go
+++ b/card/card.go
@@ -89,6 +89,11 @@
 	StoreEra int64 `cbor:"29,keyasint,omitempty"`
 	// StoreLost says that the node couldn't reach the store when it last tried.
 	StoreLost bool `cbor:"30,keyasint,omitempty"`
+	// StoreVersion is the position in the history of the store up to which the node knows
+	// the configuration, in the era StoreEra, and StoreAgeMillis how long ago the store had
+	// none newer than Version. Both are 0 if the node can't tell.
+	StoreVersion   int64 `cbor:"33,keyasint,omitempty"`
+	StoreAgeMillis int64 `cbor:"34,keyasint,omitempty"`
 	// Relays is how often the card was relayed in the data centre of the node that has it.
 	Relays int `cbor:"31,keyasint,omitempty"`
 	// Facts are the facts that the node publishes at present.
@@ -109,6 +114,14 @@
 	return cutoff.Cutoff{Grades: float64(c.Cutoff), MinFractionScale: float64(c.MinFractionScale)}
 }
 
+// Relayed returns the card as it's sent along by another node, without what is true only
+// at the moment when its own node sends it.
+func (c Card) Relayed() Card {
+	c.Relays++
+	c.StoreVersion, c.StoreAgeMillis = 0, 0
+	return c
+}
+
 const millisPerSecond = 1000
 
 // UsableSlots returns how many slots of the target can be in use on average: all
@@ -154,7 +167,7 @@
 func (c Card) isPossible() bool {
 	rates := slices.Concat([]float32{c.RunMillis, c.Failing, c.Cutoff, c.MinFractionScale, c.RateLimit},
 		slices.Collect(maps.Values(c.RootFractions)), slices.Collect(maps.Values(c.DemandRates)))
-	counts := slices.Concat([]int64{int64(c.Limit), int64(c.Running), int64(c.Waiting), c.RateLimitAgeMillis, c.CountedMillis, c.StoreEra},
+	counts := slices.Concat([]int64{int64(c.Limit), int64(c.Running), int64(c.Waiting), c.RateLimitAgeMillis, c.CountedMillis, c.StoreEra, c.StoreVersion, c.StoreAgeMillis},
 		slices.Collect(maps.Values(c.Admitted)))
 	return !slices.ContainsFunc(rates, func(r float32) bool { return !(r >= 0) || r > math.MaxFloat32 }) &&
 		!slices.ContainsFunc(counts, func(n int64) bool { return n < 0 })
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -25,10 +25,17 @@
 	Watches bool
 	// Probes says that the node, which can't reach the store, tries again and again.
 	Probes bool
+	// Leads says that the node is the first of those that watch the store, which confirms
+	// for all others that nothing has changed.
+	Leads bool
+	// Covered says that enough nodes before this one reach the store.
+	Covered bool
 	// Reaching and Losing are the numbers of nodes before this one that reach the store
 	// and that don't, which decided it.
 	Reaching int
 	Losing   int
+	// Live is the number of peers that aren't silent.
+	Live int
 }
 
 // Of returns the duty of the node that peers know as self, by the cards of its peers
@@ -47,11 +54,12 @@
 			reaching++
 		}
 	}
-	d := Duty{Reaching: reaching, Losing: losing}
+	d := Duty{Reaching: reaching, Losing: losing, Live: len(live), Covered: reaching >= watcherCount}
 	if lost {
 		d.Probes = losing < proberCount
 	} else {
 		d.Watches = reaching < watcherCount && reaching+losing < candidateCount
+		d.Leads = d.Watches && reaching == 0
 	}
 	return d
 }
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,12 +36,29 @@
 	return watching, probing
 }
 
+// leadersOf returns how many nodes of a fleet, in which all hear each other and reach the
+// store, confirm for the others.
+func leadersOf(nodes int) int {
+	var cards []card.Card
+	for i := range nodes {
+		cards = append(cards, card.Card{Peers: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)})
+	}
+	leaders := 0
+	for i, c := range cards {
+		if duty.Of(c.Peers, false, slices.Concat(cards[:i], cards[i+1:])).Leads {
+			leaders++
+		}
+	}
+	return leaders
+}
+
 func all(int, int) bool { return true }
 
 func TestFewNodesWatchTheStoreHoweverLargeTheFleetIs(t *testing.T) {
 	for _, nodes := range []int{1, 3, 4, 30, 200, 600} {
 		watching, probing := dutiesOf(nodes, nil, all)
 		assert.Equal(t, len(watching), min(nodes, 4), "%d nodes", nodes)
+		assert.Equal(t, leadersOf(nodes), 1, "%d nodes", nodes)
 		assert.Equal(t, len(probing), 0)
 	}
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -10,21 +10,26 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
+	"bergamotloom.example/cursor"
 	"bergamotloom.example/duty"
 	"bergamotloom.example/feed"
+	"bergamotloom.example/fresh"
 	"bergamotloom.example/record"
 	"bergamotloom.example/watch"
 )
 
-// minWaitMillis is the min timeout of a long poll for a new configuration.
-const minWaitMillis = 6000
+// minWaitMillis is the min timeout of a long poll for a new configuration. The store
+// allows 30 s, and a poll may take twice this.
+const minWaitMillis = 14_000
 
 // Follow follows the store and holds the configuration in force. It's safe for
 // many goroutines.
 type Follow struct {
 	watch  *watch.Watch
+	fresh  *fresh.Fresh
 	key    string
 	decode func([]byte) (*config.Config, error)
 	log    *slog.Logger
@@ -43,11 +48,12 @@
 	PeerCount() int
 }
 
-// New returns a follower of the row with this key, which decode parses. No
-// configuration is in force until Run or Apply has found one.
-func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config), fleet fleet) *Follow {
-	f := &Follow{key: key, decode: decode, log: log, onChange: onChange}
-	f.watch = watch.New(store, table, minWaitMillis, c, log, fleet, func() bool { return f.Current() != nil }, f.applyRows)
+// New returns a follower of the row with this key, which decode parses, and
+// of which fresh bounds the age. No configuration is in force until Run or Apply has
+// found one.
+func New(store feed.Feed, table, key string, decode func([]byte) (*config.Config, error), c clock.Clock, log *slog.Logger, onChange func(*config.Config), fresh *fresh.Fresh, fleet fleet) *Follow {
+	f := &Follow{fresh: fresh, key: key, decode: decode, log: log, onChange: onChange}
+	f.watch = watch.New(store, table, minWaitMillis, c, log, fresh, fleet, func() bool { return f.Current() != nil }, f.applyRows)
 	return f
 }
 
@@ -97,6 +103,38 @@
 	return nil
 }
 
+// Describe adds to a card which version is in force, and as of when the store had nothing
+// newer.
+func (f *Follow) Describe(c card.Card, era int64) card.Card {
+	// The version may be newer than the position, but not older.
+	at, ageMillis, ok := f.fresh.Tell()
+	c.Version = f.Version()
+	if ok && at.Era == era {
+		c.StoreVersion, c.StoreAgeMillis = at.Version, ageMillis
+	}
+	return c
+}
+
+// Learn takes in as of when the store had nothing newer than the version in force, from
+// the card of a peer that has no newer version. A relayed card is of an unknown age, and
+// a position of an earlier era than the present one is of no use.
+func (f *Follow) Learn(c card.Card, era, nowMillis int64) {
+	if c.StoreVersion > 0 && c.Relays == 0 && c.StoreEra >= era && c.Version <= f.Version() {
+		f.fresh.Confirm(cursor.Cursor{Era: c.StoreEra, Version: c.StoreVersion}, nowMillis-c.StoreAgeMillis)
+	}
+}
+
+// HasNews reports whether there's a confirmation that peers weren't told yet.
+func (f *Follow) HasNews() bool {
+	return f.fresh.HasNews()
+}
+
+// AgeMillis returns how long ago the store had nothing newer than the version in force,
+// as far as this node knows.
+func (f *Follow) AgeMillis() int64 {
+	return f.fresh.AgeMillis()
+}
+
 // Run follows the store until the context ends.
 func (f *Follow) Run(ctx context.Context) {
 	f.watch.Run(ctx)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -88,7 +88,7 @@
 	random *rand.Rand
 	// own returns the node's card without its identity, for peers in its own data centre
 	// or in others; the mutex may be held, so it must not call the mesh. busy reports
-	// whether the node has work.
+	// whether the node has work, or news for its peers.
 	own  func(toRemote bool) card.Card
 	busy func() bool
 	// onCard is called with each newer card of a peer, onOwn with cards of earlier
@@ -199,11 +199,10 @@
 	for ctx.Err() == nil {
 		busy := m.busy()
 		m.send(m.round(m.own(false), busy))
-		intervalMillis := idleIntervalMillis
-		if busy {
-			intervalMillis = busyIntervalMillis
+		// A node that gets work meanwhile doesn't wait for its idle interval to end.
+		for waited := 0; ctx.Err() == nil && (waited == 0 || waited < idleIntervalMillis && !m.busy()); waited += busyIntervalMillis {
+			pause.For(ctx, busyIntervalMillis*time.Millisecond)
 		}
-		pause.For(ctx, time.Duration(intervalMillis)*time.Millisecond)
 	}
 	// The last card tells the peers that the node stops.
 	m.Broadcast()
@@ -312,7 +311,7 @@
 func (m *Mesh) introduce(remote map[string][]*peer) []card.Card {
 	var cards []card.Card
 	add := func(p *peer) {
-		c := p.card
+		c := p.card.Relayed()
 		// Who gets it doesn't introduce it again.
 		c.Relays = 1
 		cards = append(cards, c)
@@ -445,8 +444,7 @@
 	cards := append(make([]card.Card, 0, len(along)+1), own)
 	factBytes := 0
 	for _, p := range along {
-		c := p.card
-		c.Relays++
+		c := p.card.Relayed()
 		for _, r := range c.Facts {
 			factBytes += len(r.Key) + len(r.Value)
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,8 @@
 	Watch = "Watch"
 	// Check is for the rare looks of a node that leaves the long polls to others.
 	Check = "Check"
+	// Old is for a look of a node that wasn't told for too long that nothing has changed.
+	Old = "Old"
 	// Gap is for reading a table again whose history was dropped.
 	Gap = "Gap"
 	// Retry is for repeating a call that failed.
--- a/params/params.go
+++ b/params/params.go
@@ -46,6 +46,9 @@
 	HeartbeatMillis int64
 	// GraceMillis is the time from the stop signal to the kill.
 	GraceMillis int64
+	// ApplyMillis is the time within which an accepted configuration must be in force at
+	// all nodes.
+	ApplyMillis int64
 	// RetryRatio limits the retries at one service, over all nodes, to this
 	// fraction of its requests.
 	RetryRatio float64
@@ -76,6 +79,8 @@
 		return errors.New("the data centre is empty: it must be named")
 	case p.GraceMillis <= 0:
 		return errors.Errorf("the grace is %d ms: it must be positive", p.GraceMillis)
+	case p.ApplyMillis <= 0:
+		return errors.Errorf("the time to apply a configuration is %d ms: it must be positive", p.ApplyMillis)
 	case p.MaxSockets < 0:
 		return errors.Errorf("the max number of sockets is %d: it may not be negative", p.MaxSockets)
 	case p.RetryRatio < 0:
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -77,6 +77,7 @@
 		"store.calls":    n.storeCalls(),
 		// -1 before the first response.
 		"config.response.age.millis": n.follow.SinceResponseMillis(),
+		"config.age.millis":          n.follow.AgeMillis(),
 		"store.era":                  n.store.Era(),
 		// -1 until the node's row is written for the first time.
 		"store.written.era": n.writtenEra.Load(),
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -26,6 +26,7 @@
 	"bergamotloom.example/facts"
 	"bergamotloom.example/feed"
 	"bergamotloom.example/follow"
+	"bergamotloom.example/fresh"
 	"bergamotloom.example/guard"
 	"bergamotloom.example/hops"
 	"bergamotloom.example/inbnd"
@@ -146,8 +147,8 @@
 	for _, era := range []*atomic.Int64{&n.writtenEra, &n.nodeEra, &n.leftEra} {
 		era.Store(-1)
 	}
-	n.follow = follow.New(counted, table, key, decode, c, log, n.apply, n)
-	n.crashes = watch.New(counted, crashesTable, crashesWaitMillis, c, log, n, func() bool { return true }, n.learnCrashes)
+	n.follow = follow.New(counted, table, key, decode, c, log, n.apply, fresh.New(c, p.ApplyMillis, c.Now()+dutyDelayMillis), n)
+	n.crashes = watch.New(counted, crashesTable, crashesWaitMillis, c, log, fresh.New(c, 0, c.Now()), n, func() bool { return true }, n.learnCrashes)
 	n.pool = conns.New(p.Target, c, targetIdleMillis)
 	parents := parent.New(c, dialect.CallSeparator)
 	self := card.Card{Peers: p.Peers, Incarnation: time.Now().UnixMilli(), Centre: p.Centre, Hops: p.Hops}
@@ -176,7 +177,8 @@
 // describe returns the node's status card, for nodes in its own data centre or in
 // others, and updates the node's own entry in instance selection and outlier ejection.
 func (n *Sidecar) describe(toRemote bool) card.Card {
-	c := card.Card{Stopping: n.stopping.Load(), Version: n.follow.Version(), StoreEra: n.store.Era(), StoreLost: n.StoreLost()}
+	c := card.Card{Stopping: n.stopping.Load(), StoreEra: n.store.Era(), StoreLost: n.StoreLost()}
+	c = n.follow.Describe(c, c.StoreEra)
 	c = n.suspects.Describe(n.facts.Describe(n.ration.Describe(n.gate.Describe(c), toRemote)))
 	own := c
 	own.Peers, own.Centre, own.Hops = n.params.Peers, n.params.Centre, n.params.Hops
@@ -186,10 +188,11 @@
 }
 
 func (n *Sidecar) busy() bool {
-	return n.clock.Now()-n.lastRequestMillis.Load() < busyMillis || n.stopping.Load()
+	return n.clock.Now()-n.lastRequestMillis.Load() < busyMillis || n.stopping.Load() || n.follow.HasNews()
 }
 
 func (n *Sidecar) learn(c card.Card) {
+	n.follow.Learn(c, n.store.Era(), n.clock.Now())
 	n.picker.Learn(c)
 	n.screen.Learn(c)
 	n.ration.Learn(c)
