The latest position in the store's history counts, not the highest one

Cause: a store that was restored from a copy and names no era gives versions out again. A node that had read all rows anew took the higher position of a peer from before the restore from its card, which the store refused, and so on: calls without end, and changes missed once the versions had caught up.

Change: positions are ordered by when they were the store's last one, and what peers knew before a position was dropped isn't taken in. The first watcher's call needs no timeout of its own, as its poll ends when its knowledge gets too old.

--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -51,7 +51,8 @@
 	at          cursor.Cursor
 	hasPosition bool
 	asOfMillis  int64
-	// positionMillis is when the position was the last one of the store.
+	// positionMillis is when the position was the last one of the store, or when it was
+	// dropped.
 	positionMillis int64
 	// isNews says that there was a confirmation since the last call of Tell.
 	isNews bool
@@ -80,24 +81,26 @@
 	f.take(at, asOfMillis, f.clock.Now())
 }
 
-// take takes in a position that was the store's last one at positionMillis.
+// take takes in a position that was the store's last one at positionMillis. The latest
+// one counts: in a store that was restored from a copy and names no era, versions have
+// gone back.
 func (f *Fresh) take(at cursor.Cursor, asOfMillis, positionMillis int64) {
 	if f.hasPosition && at.Era < f.at.Era {
 		return
 	}
 	f.isNews = f.isNews || asOfMillis-f.asOfMillis >= f.ConfirmMillis()/2
 	f.asOfMillis = max(f.asOfMillis, asOfMillis)
-	if !f.hasPosition || at.Era > f.at.Era || at.Version >= f.at.Version {
-		f.at, f.hasPosition, f.positionMillis = at, true, max(f.positionMillis, positionMillis)
+	if positionMillis >= f.positionMillis || f.hasPosition && at.Era > f.at.Era {
+		f.at, f.hasPosition, f.positionMillis = at, true, positionMillis
 	}
 }
 
 // DropPosition records that changes after the position can't be read any more, so that
-// the whole table must be.
+// the whole table must be. What peers knew before now is of no use either.
 func (f *Fresh) DropPosition() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.hasPosition = false
+	f.hasPosition, f.positionMillis = false, f.clock.Now()
 }
 
 // Position returns the position up to which the table is known; ok is false if there's
--- a/fresh/fresh_test.go
+++ b/fresh/fresh_test.go
@@ -85,6 +85,29 @@
 	assert.Assert(t, !ok)
 }
 
+// A store that was restored from a copy and names no era gives versions out again, while
+// peers still tell the higher ones of before.
+func TestPositionsFromBeforeARestoreAreIgnored(t *testing.T) {
+	f, advance := newFresh()
+	advance(1000)
+	f.Read(cursor.Cursor{Version: 90}, 1000)
+	advance(100)
+	f.DropPosition()
+	f.Confirm(cursor.Cursor{Version: 90}, 1050)
+	_, ok := f.Position()
+	assert.Assert(t, !ok)
+	f.Read(cursor.Cursor{Version: 50}, 1100)
+	advance(100)
+	f.Confirm(cursor.Cursor{Version: 90}, 1050)
+	at, ok := f.Position()
+	assert.Assert(t, ok)
+	assert.Equal(t, at, cursor.Cursor{Version: 50})
+	// A peer that was told later than this node.
+	f.Confirm(cursor.Cursor{Version: 40}, 1150)
+	at, _ = f.Position()
+	assert.Equal(t, at, cursor.Cursor{Version: 40})
+}
+
 func TestPositionIsLostBeforeTheHistoryIsDropped(t *testing.T) {
 	f, advance := newFresh()
 	f.Read(cursor.Cursor{Version: 3}, 0)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -192,7 +192,7 @@
 func (w *Watch) poll(ctx context.Context, d duty.Duty) error {
 	isOld := w.fresh.MillisUntilOld(d.Reaching, d.Live) <= 0
 	wait := w.waitTimeout(d, isOld)
-	ctx, cancel := w.withTimeout(ctx, wait, isOld, d)
+	ctx, cancel := w.withTimeout(ctx, isOld, d)
 	defer cancel()
 	sentMillis := w.clock.Now()
 	at, hasPosition := w.fresh.Position()
@@ -250,17 +250,13 @@
 	}
 }
 
-// withTimeout bounds a call of a node that has to confirm or to ask soon, so that another
-// one or a new connection can take its place in time. Others have the bounds of the store.
-func (w *Watch) withTimeout(ctx context.Context, wait time.Duration, isOld bool, d duty.Duty) (context.Context, context.CancelFunc) {
-	switch {
-	case !w.fresh.HasBound() || !w.isKnown():
-	case isOld && !w.fleet.StoreLost() || isOld && !d.Probes:
-		return context.WithTimeout(ctx, time.Duration(w.fresh.AttemptMillis(w.failures))*time.Millisecond)
-	case d.Leads:
-		return context.WithTimeout(ctx, wait+time.Duration(w.fresh.AttemptMillis(1))*time.Millisecond)
+// withTimeout bounds a call of a node that has to ask soon, so that another one, on a new
+// connection, can take its place in time. Others have the bounds of the store.
+func (w *Watch) withTimeout(ctx context.Context, isOld bool, d duty.Duty) (context.Context, context.CancelFunc) {
+	if !isOld || !w.isKnown() || w.fleet.StoreLost() && d.Probes {
+		return ctx, func() {}
 	}
-	return ctx, func() {}
+	return context.WithTimeout(ctx, time.Duration(w.fresh.AttemptMillis(w.failures))*time.Millisecond)
 }
 
 // waitTimeout returns how long the next call may wait for changes. After a failed
