--- a/watch/watch.go
+++ b/watch/watch.go
@@ -121,10 +121,12 @@
 		err := w.poll(meter.Because(ctx, reason), d)
 		switch {
 		case errors.Is(err, feed.ErrHistoryDropped):
-			w.log.Info("watch: the store dropped the history, reading all rows", "Table", w.table)
+			at, _ := w.fresh.Position()
+			w.log.Info("watch: the store dropped the history, reading all rows", "Table", w.table, "After", at.Version, "Era", at.Era)
 			w.fresh.DropPosition()
 		case errors.Is(err, feed.ErrRestored):
-			w.log.Warn("watch: the store was restored from a copy, reading all rows", "Table", w.table, "Era", w.store.Era())
+			at, _ := w.fresh.Position()
+			w.log.Warn("watch: the store was restored from a copy, reading all rows", "Table", w.table, "After", at.Version, "EraBefore", at.Era, "Era", w.store.Era())
 			w.fresh.DropPosition()
 		case errors.Is(err, errEnded):
 			w.log.Info("watch: a poll without response was ended", "Table", w.table, "CallMillis", w.clock.Since(w.calledMillis), "AgeMillis", w.fresh.AgeMillis())
