--- a/watch/watch.go
+++ b/watch/watch.go
@@ -1,6 +1,7 @@
 // Package watch follows a table of the store: it reads all rows, and then waits for
 // changes with long polls, through outages of the store and gaps in its history. Only
-// the nodes that package duty names do so; the others learn of changes from them.
+// the nodes that package duty names do so; the others learn of changes from them, and ask
+// only if they aren't told for too long that there are none, as package fresh decides.
 package watch
 
 import (
