--- a/duty/duty.go
+++ b/duty/duty.go
@@ -1,7 +1,7 @@
 // Package duty decides which nodes of a fleet call the store for all others: a few
 // watch it for changes and tell the rest, and the first of these also confirms when there
-// are none. While a watcher can't reach the store, the
-// next node takes over, and a few of those that can't reach it look for its return.
+// are none. While a watcher can't reach the store, the next node takes over, and a few of
+// those that can't reach it look for its return.
 //
 // The load of the store then follows what changes, and not the number of nodes.
 package duty
