review: add unsafe requests and a check of the deadline to case 6

Cause: the case showed only downloads, and didn't check that the deadline had not passed. Change: half of its clients begin with an unsafe request, and answers past the deadline don't count.

--- a/review/standin-2/pipelined.go
+++ b/review/standin-2/pipelined.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// downloadBytes is the length of a response: the longest download of the site.
+	// downloadBytes and bookingBytes are the lengths of responses: the longest ones of a
+	// download and of an unsafe request in the site files.
 	downloadBytes = 36_000
+	bookingBytes  = 30_000
 	workTime      = 96 * time.Millisecond
 	// behindDelay is how long after the first request the others are sent.
 	behindDelay = 30 * time.Millisecond
@@ -31,10 +33,12 @@
 	afterStop  = 3 * time.Second
 )
 
-// exchangeResult is the outcome of the first request of a connection.
+// exchangeResult is the outcome of one request.
 type exchangeResult struct {
 	id       string
+	unsafe   bool
 	sentAt   time.Time
+	endedAt  time.Time
 	complete bool
 	closes   bool
 	text     string
@@ -43,13 +47,15 @@
 // pipelinedStop stops a machine as planned while clients have requests outstanding behind
 // the one that is being answered.
 func pipelinedStop(f *fleet, trouble bool) (outcome, error) {
-	f.configure(`["download","lakes.example","/doc/","download","1500ms","400ms",1,null,2,false,"docs"]`)
-	for _, zone := range []string{"z1", "z2"} {
-		m, err := f.addMachine(zone, "docs", 100, workTime)
-		if err != nil {
-			return outcome{}, err
+	f.configure(`["download","lakes.example","/doc/","download","1500ms","400ms",1,null,2,false,"docs"],["booking","lakes.example","/booking/","unsafe","1500ms","500ms",0,null,2,false,"desk"]`)
+	for service, length := range map[string]int{"docs": downloadBytes, "desk": bookingBytes} {
+		for _, zone := range []string{"z1", "z2"} {
+			m, err := f.addMachine(zone, service, 100, workTime)
+			if err != nil {
+				return outcome{}, err
+			}
+			m.server.Respond = respondBytes(m.server.ID, length)
 		}
-		m.server.Respond = respondDownload(m.server.ID)
 	}
 	if err := f.waitReady("/doc/probe"); err != nil {
 		return outcome{}, err
@@ -62,7 +68,7 @@
 	for c := range clientCount {
 		clients.Go(func() {
 			for i := 0; time.Now().Before(end) && taker.node.Alive(); i++ {
-				for _, r := range sendPipelined(taker, fmt.Sprintf("c%d-%d", c, i)) {
+				for _, r := range sendPipelined(taker, fmt.Sprintf("c%d-%d", c, i), c%2 == 0) {
 					mutex.Lock()
 					results = append(results, r)
 					mutex.Unlock()
@@ -79,23 +85,27 @@
 	}
 	clients.Wait()
 	runs := f.runs()
-	broken, afterSignal := 0, 0
+	broken, unsafe, afterSignal := 0, 0, 0
 	for _, r := range results {
 		if r.sentAt.After(stoppedAt) {
 			afterSignal++
 		}
-		lost := !r.complete && runs[r.id] > 0
+		inTime := r.endedAt.Sub(r.sentAt) < deadlineMillis*time.Millisecond
+		lost := !r.complete && runs[r.id] > 0 && inTime
 		f.rec.line("request %s sent=%.3f runs=%d complete=%v closes=%v %s", r.id, r.sentAt.Sub(f.rec.startedAt).Seconds(), runs[r.id], r.complete, r.closes, r.text)
 		if lost {
 			broken++
+			if r.unsafe {
+				unsafe++
+			}
 		}
 	}
-	return outcome{broken, fmt.Sprintf("LOST: %d requests that were passed on had no complete answer, of %d sent, %d of them after the signal", broken, len(results), afterSignal)}, nil
+	return outcome{broken, fmt.Sprintf("LOST: %d requests that were passed on had no complete answer (%d downloads, %d unsafe ones), of %d sent, %d of them after the signal", broken, broken-unsafe, unsafe, len(results), afterSignal)}, nil
 }
 
-// respondDownload returns the handler of a server that sends a download.
-func respondDownload(id string) func(w http.ResponseWriter, r *http.Request) {
-	body := make([]byte, downloadBytes)
+// respondBytes returns the handler of a server whose responses have this length.
+func respondBytes(id string, length int) func(w http.ResponseWriter, r *http.Request) {
+	body := make([]byte, length)
 	for i := range body {
 		body[i] = byte('a' + i%26)
 	}
@@ -108,13 +118,26 @@
 }
 
 func downloadRequest(id string) string {
-	return fmt.Sprintf("GET /doc/%s HTTP/1.1\r\nHost: lakes.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer key-north\r\n\r\n", id, id, deadlineMillis)
+	return requestHead("GET", "/doc/"+id, id) + "\r\n"
+}
+
+func bookingRequest(id string) string {
+	return requestHead("POST", "/booking/"+id, id) + "Content-Length: 7\r\n\r\nbooking"
 }
 
-// sendPipelined sends a request on a new connection and further ones behind it before it is
-// answered, and reads the answers in order until one closes the connection.
-func sendPipelined(m *machine, id string) []exchangeResult {
-	first := exchangeResult{id: id, sentAt: time.Now()}
+func requestHead(method, path, id string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: lakes.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer key-north\r\n", method, path, id, deadlineMillis)
+}
+
+// sendPipelined sends a download or a booking on a new connection and further downloads
+// behind it before it is answered, and reads the answers in order until one closes the
+// connection.
+func sendPipelined(m *machine, id string, unsafe bool) []exchangeResult {
+	first := exchangeResult{id: id, unsafe: unsafe, sentAt: time.Now()}
+	text := downloadRequest(id)
+	if unsafe {
+		text = bookingRequest(id)
+	}
 	c, err := dialSmallWindow(m.address(outboundPort))
 	if err != nil {
 		first.text = err.Error()
@@ -122,7 +145,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(deadlineMillis * time.Millisecond))
-	if _, err := io.WriteString(c, downloadRequest(id)); err != nil {
+	if _, err := io.WriteString(c, text); err != nil {
 		first.text = err.Error()
 		return []exchangeResult{first}
 	}
@@ -147,6 +170,7 @@
 }
 
 func readAnswer(reader *bufio.Reader, r *exchangeResult) {
+	defer func() { r.endedAt = time.Now() }()
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		r.text = "no answer: " + err.Error()
