--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A planned stop while clients have sent further requests behind the one that is answered.
-# Exits with 1 if an accepted request lost its answer, 0 if none did, 2 if it couldn't run.
+# Exits with 1 if an accepted request lost its answer, 0 if none did, 2 if it could not run.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 test -x target/bergamotloom && test -x target/review-2/standin-2 || { echo "run the build of deploy/system.toml and review/build-2.sh first" >&2; exit 2; }
