review: show that an acknowledged leave is forgotten after a kill of all processes

Cause: while the store is down, a leave is acknowledged without having been recorded. If all processes are killed then, nobody knows of it, and a late heartbeat opens the gate.

--- a/review/standin-2/machine.go
+++ b/review/standin-2/machine.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,9 @@
 	settings string
 	node     *proc.Proc
 	server   *server.Server
+	// born is when the server started, sequence the number of its heartbeats.
+	born     time.Time
+	sequence atomic.Int64
 	beats    context.CancelFunc
 }
 
@@ -53,6 +57,7 @@
 		ID: fmt.Sprintf("i-%s-%d", service, number), Service: service, Slots: slots, RunTime: workTime,
 		Control: m.address(controlPort), Outbound: m.address(outboundPort),
 	}
+	m.born = time.Now()
 	if err := m.server.Start(m.address(serverPort)); err != nil {
 		return nil, err
 	}
@@ -109,7 +114,7 @@
 	m.fleet.group.Go(func() {
 		for ctx.Err() == nil {
 			// An error is expected while the node is down.
-			_ = m.server.SendHeartbeat("ready")
+			_ = m.sendHeartbeat(m.heartbeat())
 			select {
 			case <-ctx.Done():
 			case <-time.After(heartbeatInterval):
@@ -118,6 +123,16 @@
 	})
 }
 
+// heartbeat returns the server's next heartbeat.
+func (m *machine) heartbeat() []byte {
+	return fmt.Appendf(nil, `{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"cold_remaining":"0ms"}}`,
+		m.address(serverPort), m.born.UnixMilli(), m.service, m.zone, m.server.Slots, m.sequence.Add(1))
+}
+
+func (m *machine) sendHeartbeat(content []byte) error {
+	return m.server.SendRawHeartbeat(content)
+}
+
 // ready asks the readiness address of the node, as the platform does.
 func (m *machine) ready() bool {
 	status, err := m.get(readyPort, "/api/readiness", nil)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,8 +25,9 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"pipelined-stop": pipelinedStop,
-		"shorter-grace":  shorterGrace,
+		"pipelined-stop":  pipelinedStop,
+		"shorter-grace":   shorterGrace,
+		"forgotten-leave": forgottenLeave,
 	}
 }
 
