Connections linger at their close, so that responses arrive

What callers saw: in a planned stop, the response to a request behind which they had sent further ones was cut by a connection reset, although the server had run it and answered in full.

Cause: net/http closes the socket once the last response is in its send buffer. If bytes are unread then, or arrive later, the kernel resets the connection and drops what isn't sent.

Change: package linger, under all listeners of sidecar and node, ends the sending side and reads on until the peer has received everything, within bounds in time and number. A stop waits for that within its grace, and for responses that aren't written when their handlers return.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -53,6 +53,8 @@
 	excess   int
 	accepted int64
 	failed   int64
+	// responding is how many connections have isResponding.
+	responding int
 	// closedIdle and closedNew count the idle and the new connections that were
 	// closed to stay below the limit.
 	closedIdle int64
@@ -69,9 +71,13 @@
 	// request.
 	idleElement *list.Element
 	isExcess    bool
+	// isResponding is true from the start of a request's handler until its response is
+	// written.
+	isResponding bool
+	isForgotten  bool
 }
 
-type excessKey struct{}
+type connKey struct{}
 
 // New returns a wrapper of the listener that keeps up to maxOpen connections open.
 // Its methods Accept, ConnState and ConnContext must be given to the server of the
@@ -180,21 +186,23 @@
 		return
 	}
 	delete(a.open, c)
+	state.isForgotten = true
 	if state.isExcess {
 		a.excess--
 	}
+	a.endResponse(state)
 	if state.idleElement != nil {
 		a.idleOf(state).Remove(state.idleElement)
 	}
 }
 
-// ConnContext marks the contexts of requests on excess connections. It's the
+// ConnContext adds the state of their connection to the contexts of requests. It's the
 // callback of the same name of the port's server.
 func (a *Accept) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if state, ok := a.open[c]; ok && state.isExcess {
-		return context.WithValue(ctx, excessKey{}, true)
+	if state, ok := a.open[c]; ok {
+		return context.WithValue(ctx, connKey{}, state)
 	}
 	return ctx
 }
@@ -202,7 +210,45 @@
 // IsExcess reports whether the context is that of a request on an excess
 // connection. The request should be refused and the connection closed.
 func IsExcess(ctx context.Context) bool {
-	return ctx.Value(excessKey{}) != nil
+	state, ok := ctx.Value(connKey{}).(*openConn)
+	return ok && state.isExcess
+}
+
+// Handler returns a handler that lets Responding count the requests of the port.
+func (a *Accept) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if state, ok := r.Context().Value(connKey{}).(*openConn); ok {
+			a.beginResponse(state)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Responding returns how many connections have a request whose response isn't written
+// yet. Its handler may have ended before.
+func (a *Accept) Responding() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.responding
+}
+
+func (a *Accept) beginResponse(state *openConn) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	// A connection that was closed has no place among the open ones any more.
+	if !state.isResponding && !state.isForgotten {
+		state.isResponding = true
+		a.responding++
+	}
+}
+
+// endResponse records that a response is written, or never will be. The mutex must be
+// held.
+func (a *Accept) endResponse(state *openConn) {
+	if state.isResponding {
+		state.isResponding = false
+		a.responding--
+	}
 }
 
 func (a *Accept) recordError(err error) {
@@ -235,6 +281,7 @@
 		a.idleOf(state).Remove(state.idleElement)
 		state.idleElement = nil
 	case s == http.StateIdle && state.idleElement == nil:
+		a.endResponse(state)
 		state.idleElement = a.idleOf(state).PushBack(c)
 	}
 }
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -18,6 +18,8 @@
 
 	"bergamotloom.example/accept"
 	"bergamotloom.example/clock"
+	"bergamotloom.example/linger"
+	"bergamotloom.example/narrow"
 )
 
 // fakeListener returns one result after the other.
@@ -237,3 +239,64 @@
 		assert.Equal(t, <-served, http.StatusOK)
 	}
 }
+
+// A connection that makes room for a new one counts as idle while its caller still receives
+// the response: a further request on it cuts that.
+func TestRoomForANewConnectionCutsAResponse(t *testing.T) {
+	const length = 40_000
+	a := accept.New(linger.New(4).Listen(listen(t)), "callers", 1, clock.New(), slog.New(slog.DiscardHandler))
+	s := &http.Server{
+		ReadHeaderTimeout: time.Second, ConnState: a.ConnState, ConnContext: a.ConnContext,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("r", length))
+		}),
+	}
+	go func() { _ = s.Serve(a) }()
+	t.Cleanup(func() { _ = s.Close() })
+	first, err := narrow.Dial(t.Context(), a.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = first.Close() })
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, get(dial(t, a), time.Second), http.StatusOK)
+	idle, _ := a.Closed()
+	assert.Equal(t, idle, int64(1))
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	r, err := http.ReadResponse(bufio.NewReader(first), nil)
+	assert.NilError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	body, err := io.ReadAll(r.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), length)
+}
+
+// A stop ends the process before a response is written whose handler has returned.
+func TestResponseCountsAsWrittenWithItsHandler(t *testing.T) {
+	server, client := net.Pipe()
+	t.Cleanup(func() { _, _ = server.Close(), client.Close() })
+	blocked := &fakeListener{Listener: listen(t), results: []any{server}}
+	a := accept.New(blocked, "callers", 10, clock.New(), slog.New(slog.DiscardHandler))
+	returned := make(chan struct{})
+	s := &http.Server{
+		ReadHeaderTimeout: time.Second, ConnState: a.ConnState, ConnContext: a.ConnContext,
+		Handler: a.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "buffered")
+			close(returned)
+		})),
+	}
+	go func() { _ = s.Serve(a) }()
+	t.Cleanup(func() { _ = s.Close() })
+	assert.Equal(t, a.Responding(), 0)
+	_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	<-returned
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, a.Responding(), 1)
+	r, err := http.ReadResponse(bufio.NewReader(client), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, r.Body.Close())
+	waitFor(t, func() bool { return a.Responding() == 0 })
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,12 +60,27 @@
 // Listen returns the listener with connections whose heads are counted, if it's one for
 // TCP. The server of the port must have been given to Watch.
 func (g *Guard) Listen(l net.Listener) net.Listener {
-	if tcp, ok := l.(*net.TCPListener); ok {
+	if tcp, ok := l.(tcpListener); ok {
 		return &listener{tcp, g}
 	}
 	return l
 }
 
+// tcpListener has the methods of a listener for TCP that its users need.
+type tcpListener interface {
+	net.Listener
+	syscall.Conn
+}
+
+// tcpConn has the methods of a connection over TCP that its users need.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	io.ReaderFrom
+	CloseWrite() error
+	SetLinger(seconds int) error
+}
+
 type key struct{}
 
 // Watch adds to the handler and the callbacks of a server what tells where the heads on its
@@ -94,22 +110,26 @@
 }
 
 type listener struct {
-	*net.TCPListener
+	tcpListener
 	guard *Guard
 }
 
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
+	c, err := l.tcpListener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{TCPConn: c, guard: l.guard}, nil
+	tcp, ok := c.(tcpConn)
+	if !ok {
+		return c, nil
+	}
+	return &conn{tcpConn: tcp, guard: l.guard}, nil
 }
 
 // conn counts the head of the request that is being read.
 type conn struct {
-	*net.TCPConn
+	tcpConn
 	guard *Guard
 
 	mutex sync.Mutex
@@ -124,15 +144,15 @@
 // Read reads from the connection. It fails if the head takes more than the bound allows,
 // once the sender was told.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.tcpConn.Read(p)
 	if c.count(p[:n]) {
 		return n, err
 	}
 	c.guard.refused.Add(1)
-	if _, err := io.WriteString(c.TCPConn, c.guard.refusal); err == nil {
+	if _, err := io.WriteString(c.tcpConn, c.guard.refusal); err == nil {
 		_ = c.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
-		_, _ = io.CopyN(io.Discard, c.TCPConn, maxDiscardedBytes)
+		_, _ = io.CopyN(io.Discard, c.tcpConn, maxDiscardedBytes)
 	}
 	return 0, errFull
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"bergamotloom.example/guard"
+	"bergamotloom.example/linger"
+	"bergamotloom.example/narrow"
 )
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -109,3 +111,43 @@
 	}
 	assert.Equal(t, g.Refused(), int64(0))
 }
+
+// The refusal of a head cuts the response before it, which its sender still receives.
+func TestRefusalOfAHeadCutsTheResponseBeforeIt(t *testing.T) {
+	const length = 40_000
+	g := guard.New(1000, refusal)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("r", length))
+		}),
+	}
+	g.Watch(s)
+	go func() { _ = s.Serve(g.Listen(linger.New(10).Listen(l))) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := narrow.Dial(t.Context(), l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	// The sender may be cut off.
+	go func() {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\nPadding: "+strings.Repeat("p", 900_000))
+	}()
+	time.Sleep(time.Second)
+	reader := bufio.NewReader(c)
+	for _, want := range []struct{ status, length int }{{http.StatusOK, length}, {http.StatusServiceUnavailable, 0}} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, want.status)
+		assert.Equal(t, len(body), want.length)
+	}
+	assert.Equal(t, g.Refused(), int64(1))
+}
--- a/node/ports.go
+++ b/node/ports.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotloom.example/guard"
+	"bergamotloom.example/linger"
 	"bergamotloom.example/links"
 	"bergamotloom.example/reason"
 	"bergamotloom.example/refuse"
@@ -29,6 +30,8 @@
 	// maxHeadsBytes bounds the memory that the heads of requests take, together at the
 	// ports for callers and for the target.
 	maxHeadsBytes = 8 << 20
+	// maxOpenConns is how many connections may be open while closed ones linger.
+	maxOpenConns = 4096
 	// maxPeerStreams is the max number of concurrent requests on a peer's
 	// connection.
 	maxPeerStreams = 4096
@@ -46,7 +49,9 @@
 	operators net.Listener
 
 	// guard counts the heads of requests.
-	guard        *guard.Guard
+	guard *guard.Guard
+	// linger closes the connections of all listeners.
+	linger       *linger.Linger
 	tls          *tls.Config
 	serveControl func(net.Conn)
 	servers      map[net.Listener]*http.Server
@@ -55,6 +60,7 @@
 func openPorts(ctx context.Context, s setup.Setup) (*ports, error) {
 	p := &ports{
 		guard:   guard.New(maxHeadsBytes, refuse.New(reason.Overloaded).Text()),
+		linger:  linger.New(maxOpenConns),
 		servers: make(map[net.Listener]*http.Server),
 	}
 	listens := []struct {
@@ -70,7 +76,7 @@
 			p.close()
 			return nil, errors.Wrapf(err, "node: listening on %s", l.address)
 		}
-		*l.listener = listener
+		*l.listener = p.linger.Listen(listener)
 	}
 	p.callers, p.local = p.guard.Listen(p.callers), p.guard.Listen(p.local)
 	return p, nil
--- a/node/stop.go
+++ b/node/stop.go
@@ -15,7 +15,7 @@
 	// pollIntervalMillis is the time between two checks for requests in flight.
 	pollIntervalMillis = 20
 	// lastMessagesMillis limits the removal of the node's row, and is the time
-	// after it for the last messages to peers.
+	// after it for the last messages to peers, and at least for the last responses.
 	lastMessagesMillis = 200
 )
 
@@ -56,9 +56,23 @@
 	n.gossip.Tick()
 	n.removeRow()
 	time.Sleep(lastMessagesMillis * time.Millisecond)
+	n.ports.close()
+	n.waitLingering(ctx)
 	n.log.Info("node: stopped")
 }
 
+// waitLingering waits until callers and peers have received their responses, or until the
+// context ends, but no shorter than lastMessagesMillis. The end of the process resets the
+// connections that still have unread bytes.
+func (n *Node) waitLingering(ctx context.Context) {
+	last, cancel := context.WithTimeout(n.tasks, lastMessagesMillis*time.Millisecond)
+	defer cancel()
+	n.ports.linger.Wait(ctx)
+	n.ports.linger.Wait(last)
+	lingering, lingered, cut := n.ports.linger.Counts()
+	n.log.Info("node: connections closed", "Lingered", lingered, "Lingering", lingering, "Cut", cut)
+}
+
 // removeRow removes the node's row from the table. If that fails, the row is
 // removed when its lease has expired.
 func (n *Node) removeRow() {
--- a/sidecr/metric.go
+++ b/sidecr/metric.go
@@ -123,6 +123,10 @@
 		accepting = 1
 	}
 	metrics.GetOrRegisterGauge("callers.accepting", n.registry).Update(accepting)
+	lingering, lingered, cut := n.linger.Counts()
+	for name, value := range map[string]int64{"lingering": int64(lingering), "lingered": lingered, "cut": cut} {
+		metrics.GetOrRegisterGauge("connections."+name, n.registry).Update(value)
+	}
 	n.updatePortGauges()
 	n.updateEvacuationGauges()
 }
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -38,10 +38,12 @@
 	minStopDelay = 3 * time.Second
 	// finalStepsTimeout is the part of the grace period that is kept for the
 	// last steps: up to refusalTimeout for refusing the requests still in
-	// flight, up to closeTimeout for closing the ports.
+	// flight, up to closeTimeout for closing the ports, and exitTimeout for the end
+	// of the process. Connections linger until then.
 	finalStepsTimeout = 700 * time.Millisecond
 	refusalTimeout    = 300 * time.Millisecond
 	closeTimeout      = 100 * time.Millisecond
+	exitTimeout       = 200 * time.Millisecond
 	// pollInterval is the time between two checks for the configuration or for
 	// requests in flight.
 	pollInterval = 20 * time.Millisecond
@@ -66,11 +68,11 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "node: listening on the port for %s", p.name)
 		}
-		n.ports[p.name] = accept.New(n.guard.Listen(l), p.name, n.maxOpen(p.name), n.clock, n.log)
+		n.ports[p.name] = accept.New(n.guard.Listen(n.linger.Listen(l)), p.name, n.maxOpen(p.name), n.clock, n.log)
 	}
 	var servers []*http.Server
 	for _, p := range ports {
-		servers = append(servers, n.serve(p.name, p.handler))
+		servers = append(servers, n.serve(p.name, n.ports[p.name].Handler(p.handler)))
 	}
 	return servers, nil
 }
@@ -116,7 +118,8 @@
 // that it has received.
 func (n *Sidecar) stop(servers []*http.Server) {
 	began := time.Now()
-	drainTimeout := time.Duration(n.params.GraceMillis)*time.Millisecond - finalStepsTimeout
+	grace := time.Duration(n.params.GraceMillis) * time.Millisecond
+	drainTimeout := grace - finalStepsTimeout
 	n.stopping.Store(true)
 	n.entry.SetExitTime(n.clock.Now() + drainTimeout.Milliseconds())
 	n.gate.Stop()
@@ -140,15 +143,31 @@
 			n.log.Warn("node: a port was closed with requests in flight", "Error", err.Error(), "Active", n.active.Load())
 		}
 	}
+	n.waitLingering(time.Until(began.Add(grace - exitTimeout)))
 }
 
-// waitIdle waits for minWait, and then until no request is being served, but no
-// longer than maxWait in total.
+// waitLingering waits until callers have received their responses, up to maxWait. The end
+// of the process resets the connections that still have unread bytes.
+func (n *Sidecar) waitLingering(maxWait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxWait)
+	defer cancel()
+	n.linger.Wait(ctx)
+	lingering, lingered, cut := n.linger.Counts()
+	n.log.Info("node: connections closed", "Lingered", lingered, "Lingering", lingering, "Cut", cut)
+}
+
+// waitIdle waits for minWait, and then until no request is being served and all responses
+// are written, but no longer than maxWait in total.
 func (n *Sidecar) waitIdle(minWait, maxWait time.Duration) {
 	for began := time.Now(); ; time.Sleep(pollInterval) {
 		elapsed := time.Since(began)
-		if elapsed >= maxWait || elapsed >= minWait && n.active.Load() == 0 {
+		if elapsed >= maxWait || elapsed >= minWait && n.active.Load() == 0 && n.responding() == 0 {
 			return
 		}
 	}
 }
+
+// responding returns how many requests have a response that isn't written yet.
+func (n *Sidecar) responding() int {
+	return n.ports[callersPort].Responding() + n.ports[hopsPort].Responding()
+}
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -33,6 +33,7 @@
 	"bergamotloom.example/hops"
 	"bergamotloom.example/inbnd"
 	"bergamotloom.example/intake"
+	"bergamotloom.example/linger"
 	"bergamotloom.example/mesh"
 	"bergamotloom.example/meter"
 	"bergamotloom.example/notice"
@@ -98,6 +99,8 @@
 	intake *intake.Intake
 	// guard bounds the memory that their heads take.
 	guard *guard.Guard
+	// linger closes the connections of all ports.
+	linger *linger.Linger
 	// facts distributes the crash suspects to all nodes.
 	facts    *facts.Facts
 	suspects *crash.Suspects
@@ -177,6 +180,7 @@
 	n.hops = hops.New(c, n.maxSockets()/idleHopsDivisor, n.picker.UpdateLoad)
 	n.intake = intake.New(p.MemoryBytes / bodiesDivisor)
 	n.guard = guard.New(p.MemoryBytes/headsDivisor, hops.Refusal(reason.Overloaded))
+	n.linger = linger.New(int(2 * requestPortFraction * float64(n.maxSockets())))
 	n.entry = outbnd.New(c, dialect, p.Peers, p.Service, p.RetryRatio, n.follow.Current,
 		n.gate, n.intake, n.hops, n.picker, n.screen, n.ration, parents, n.suspects, seed, log, n.registry)
 	var err error
