A restarted gate wants proof that its target stays

What callers saw: unsafe requests reached a server for seconds after its leave was acknowledged, and were cut when it exited. The store was away at the leave, all nodes were killed, and a late heartbeat opened the gate.

Cause: the leave was acknowledged without being recorded, and a second after a restart a node opened its gate at any heartbeat if neither store nor peers named a target that left. Silence was taken for an answer.

Evidence: the log of the case has "recording a leaving target failed" and no success before the kill, the gate opens by a heartbeat with the start time of the one that left, and stays open after the row is read.

Change: if the store was away since the start of the node, the gate opens once the target says at its health path that it's ready, or its heartbeats go on for 2.5 s, or one comes that can't be late (alive). A late heartbeat is none of these, so the acknowledgement lasts without a record. Records are retried within half a second, and a planned stop waits for them.

--- a/dialct/dialct.go
+++ b/dialct/dialct.go
@@ -30,6 +30,8 @@
 	// Cold carries, in responses to health checks, how much longer a target is in its
 	// cold start, in milliseconds.
 	Cold string
+	// Instance carries, in responses to health checks, the ID of the target that responds.
+	Instance string
 	// Leaving is 1 in the responses of a target that takes no new requests.
 	Leaving string
 }
--- a/inbnd/departure.go
+++ b/inbnd/departure.go
@@ -1,12 +1,13 @@
 package inbnd
 
-import "bergamotloom.example/clock"
-
-// maxHeartbeatDelayMillis is how late a heartbeat may arrive.
-const maxHeartbeatDelayMillis = 10_000
+import (
+	"bergamotloom.example/alive"
+	"bergamotloom.example/clock"
+)
 
 // maxDepartures bounds the targets that are remembered as having left. A machine has one
-// target at a time; more of them than this within maxHeartbeatDelayMillis are no targets.
+// target at a time; more of them than this while their heartbeats may still arrive are no
+// targets.
 const maxDepartures = 64
 
 // departure says which incarnations of a target have left, of those with one ID.
@@ -23,7 +24,7 @@
 // request stands for all that started before it, for as long as their heartbeats may
 // arrive: one that goes on sending heartbeats hasn't left.
 func (d departure) lastStartMillis(c clock.Clock) int64 {
-	if c.Since(d.requestMillis) < maxHeartbeatDelayMillis {
+	if c.Since(d.requestMillis) < alive.MaxHeartbeatDelayMillis {
 		return max(d.startMillis, d.requestMillis)
 	}
 	return d.startMillis
--- a/inbnd/evac.go
+++ b/inbnd/evac.go
@@ -1,25 +1,16 @@
 package inbnd
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"bergamotloom.example/heads"
 	"bergamotloom.example/notice"
 )
 
 const (
-	// healthTimeoutMillis bounds the query of the target's health path. Until it's answered
-	// the target gets the cold rate only.
-	healthTimeoutMillis = 1000
-	// healthID is the request ID of the query.
-	healthID = "loom-health"
 	// maxColdHeaderBytes bounds how much of a malformed header is logged.
 	maxColdHeaderBytes = 32
 	evacuatedDetail    = "at the gate"
@@ -80,28 +71,13 @@
 // health path. It returns an error if there's no response of this target, or none with a
 // sound header.
 func (g *Gate) queryCold(path string, target notice.Notice) (remainingMillis int64, err error) {
-	r := &http.Request{Method: http.MethodGet, RequestURI: path, Host: target.Address}
-	h := make(http.Header)
-	heads.SetOrRemove(h, g.dialect.RequestID, healthID)
-	heads.SetOrRemove(h, g.dialect.RemainingMillis, strconv.Itoa(healthTimeoutMillis))
-	heads.SetOrRemove(h, g.dialect.ExpectedTarget, target.Target)
-	// A health path may leave the ID out.
-	matches := func(response *http.Response, _ bool) bool {
-		id := response.Header.Get(g.dialect.RequestID)
-		return id == healthID || id == ""
-	}
-	response, done, _, err := g.pool.Do(context.Background(), r.Method, heads.AppendHead(nil, r, h, 0), nil, matches, g.clock.Fine()+healthTimeoutMillis) //nolint:bodyclose // done closes the connection if the body wasn't read.
+	status, h, err := g.queryHealth(path, target)
 	if err != nil {
 		return 0, err
 	}
-	read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-	done(err == nil && read < maxRefusalBytes)
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return 0, errors.New("the answer is of another target")
-	}
-	values := response.Header.Values(g.dialect.Cold)
+	values := h.Values(g.dialect.Cold)
 	if len(values) != 1 {
-		return 0, errors.Errorf("%d headers %s instead of one, status %d", len(values), g.dialect.Cold, response.StatusCode)
+		return 0, errors.Errorf("%d headers %s instead of one, status %d", len(values), g.dialect.Cold, status)
 	}
 	remainingMillis, err = strconv.ParseInt(values[0], 10, 64)
 	if err != nil || remainingMillis < 0 {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -68,6 +68,8 @@
 	store    feed.Feed
 	registry metrics.Registry
 	lost     atomic.Bool
+	// hasFailed is true from the first failed call on.
+	hasFailed atomic.Bool
 }
 
 // New returns a meter of the store, with its counters in the registry.
@@ -87,6 +89,7 @@
 		m.lost.Store(false)
 	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		m.lost.Store(true)
+		m.hasFailed.Store(true)
 		metrics.GetOrRegisterCounter(FailedPrefix+name, m.registry).Inc(1)
 	}
 }
@@ -96,6 +99,11 @@
 	return m.lost.Load()
 }
 
+// HasFailed reports whether any call since the start has failed.
+func (m *Meter) HasFailed() bool {
+	return m.hasFailed.Load()
+}
+
 // Page is that of the store.
 func (m *Meter) Page(ctx context.Context, table, from string, limit int) (rows []record.Record, at cursor.Cursor, more bool, err error) {
 	rows, at, more, err = m.store.Page(ctx, table, from, limit)
--- a/sidecr/join.go
+++ b/sidecr/join.go
@@ -39,8 +39,11 @@
 	// it doesn't know its peers yet.
 	dutyDelayMillis = 1000
 	// recordLeaveTimeout bounds how long a leaving target waits for its
-	// acknowledgement while the store records that it leaves.
+	// acknowledgement while the store records that it leaves, and each later attempt.
 	recordLeaveTimeout = 600 * time.Millisecond
+	// maxLeaveRetryDelay bounds the delay between two attempts to record a leave: until one
+	// succeeds, nobody knows of the leave if all nodes restart.
+	maxLeaveRetryDelay = 300 * time.Millisecond
 	// versionCheckMillis is the time between two comparisons with the peers'
 	// configuration versions.
 	versionCheckMillis = 100
@@ -213,13 +216,15 @@
 		n.gate.MarkLeft(own.LeftTarget, own.LeftBornMillis, own.LeftRequestMillis)
 		n.leftEra.Store(era)
 	}
-	n.hasReadLeft.Store(true)
+	n.knowsLeft.Store(!n.meter.HasFailed())
+	n.log.Info("node: the store tells which target left", "Target", own.LeftTarget, "BornMillis", own.LeftBornMillis, "HasFailed", n.meter.HasFailed())
 	return nil
 }
 
 // recordLeave records in the store that a target leaves, so that this node
 // knows it after a restart. If that fails within recordLeaveTimeout, it goes on in
-// the background.
+// the background, and the leave is acknowledged nevertheless: a node that restarts while the
+// store is away takes no heartbeat for proof that the target stays.
 func (n *Sidecar) recordLeave(ctx context.Context, target string) {
 	ctx, cancel := context.WithTimeout(meter.Because(ctx, meter.Leave), recordLeaveTimeout)
 	defer cancel()
@@ -231,7 +236,11 @@
 	if n.recordingLeave.CompareAndSwap(false, true) {
 		go func() {
 			defer n.recordingLeave.Store(false)
-			n.retry(n.requests, meter.Leave, "recording a leaving target", func(ctx context.Context) error { return n.writeLeft(ctx, n.gate.LastLeft()) })
+			n.retryWithin(n.requests, maxLeaveRetryDelay, meter.Leave, "recording a leaving target", func(ctx context.Context) error {
+				ctx, cancel := context.WithTimeout(ctx, recordLeaveTimeout)
+				defer cancel()
+				return n.writeLeft(ctx, n.gate.LastLeft())
+			})
 		}()
 	}
 }
@@ -239,6 +248,11 @@
 // retry repeats calls to the store, which have this reason, with an exponential delay
 // until they succeed. Purpose says for logs what they're for.
 func (n *Sidecar) retry(ctx context.Context, reason, purpose string, work func(context.Context) error) {
+	n.retryWithin(ctx, maxRetryDelay, reason, purpose, work)
+}
+
+// retryWithin is retry with another bound on the delay.
+func (n *Sidecar) retryWithin(ctx context.Context, maxDelay time.Duration, reason, purpose string, work func(context.Context) error) {
 	delay := minRetryDelay
 	for lost := false; ctx.Err() == nil; {
 		if lost {
@@ -256,7 +270,7 @@
 		}
 		lost = true
 		pause.For(ctx, delay/2+rand.N(delay))
-		delay = min(2*delay, maxRetryDelay)
+		delay = min(2*delay, maxDelay)
 	}
 }
 
--- a/sidecr/ports.go
+++ b/sidecr/ports.go
@@ -126,6 +126,7 @@
 	n.mesh.Broadcast()
 	n.log.Info("node: stopping", "Active", n.active.Load())
 	n.waitIdle(min(minStopDelay, drainTimeout), time.Until(began.Add(drainTimeout)))
+	n.waitLeaveRecorded(time.Until(began.Add(drainTimeout)))
 	// Requests that still arrive are refused, and those that arrived before end.
 	n.entry.SetExitTime(n.clock.Now())
 	n.waitIdle(0, time.Until(began.Add(drainTimeout)))
@@ -146,6 +147,14 @@
 	n.waitLingering(time.Until(began.Add(grace - exitTimeout)))
 }
 
+// waitLeaveRecorded waits until the store has recorded that the last target left, up to
+// maxWait. What isn't recorded is gone with the process.
+func (n *Sidecar) waitLeaveRecorded(maxWait time.Duration) {
+	for end := time.Now().Add(maxWait); n.recordingLeave.Load() && time.Now().Before(end); {
+		time.Sleep(pollInterval)
+	}
+}
+
 // waitLingering waits until callers have received their responses, up to maxWait. The end
 // of the process resets the connections that still have unread bytes.
 func (n *Sidecar) waitLingering(maxWait time.Duration) {
--- a/sidecr/sidecr.go
+++ b/sidecr/sidecr.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"bergamotloom.example/accept"
+	"bergamotloom.example/alive"
 	"bergamotloom.example/card"
 	"bergamotloom.example/clock"
 	"bergamotloom.example/config"
@@ -123,8 +124,14 @@
 	// recordingLeave is true while a background task records that the last target
 	// left.
 	recordingLeave atomic.Bool
-	// hasReadLeft is true once the target that left was read from the store.
-	hasReadLeft atomic.Bool
+	// knowsLeft is true once the target that left was read from a store that was never
+	// away since the start of the node.
+	knowsLeft atomic.Bool
+	// alive has the proof that the target stays, asking is true while it's asked, and
+	// askedMillis is when it was asked last.
+	alive       *alive.Alive
+	asking      atomic.Bool
+	askedMillis atomic.Int64
 	// kept is the last heartbeat while the gate may not open yet.
 	keptMutex sync.Mutex
 	kept      *notice.Notice
@@ -156,7 +163,7 @@
 	requests, endRequests := context.WithCancelCause(context.Background())
 	registry := metrics.NewRegistry()
 	counted := meter.New(store, registry)
-	n := &Sidecar{params: p, clock: c, log: log, store: counted, meter: counted, startedMillis: c.Now(), registry: registry, ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests}
+	n := &Sidecar{params: p, clock: c, log: log, store: counted, meter: counted, startedMillis: c.Now(), registry: registry, ports: make(map[string]*accept.Accept), targets: targetStarts{millis: make(map[string]int64)}, requests: requests, endRequests: endRequests, alive: alive.New(c)}
 	for _, era := range []*atomic.Int64{&n.writtenEra, &n.nodeEra, &n.leftEra} {
 		era.Store(-1)
 	}
