Heartbeats of other senders don't hide a target's proof

Change: alive keeps the last eight incarnations, each with its own proof, and the node passes heartbeats of another service on to the gate, which ignores them. Linger waits for the read that a close ends and holds no lock after that. The target is asked outside of the tasks that a stop waits for.

--- a/alive/alive.go
+++ b/alive/alive.go
@@ -17,27 +17,45 @@
 	// answer for itself. It exceeds the interval between two of them: several heartbeats
 	// would have to be late by that and by the time in which the node has restarted.
 	minSpanMillis = 2500
+	// maxIncarnations bounds the incarnations that are remembered. A node has one target at
+	// a time; other heartbeats are late or of other senders.
+	maxIncarnations = 8
 )
 
-// Alive holds what is known of the newest incarnation of a target. It's safe for
-// concurrent use.
+// Alive holds what is known of the last incarnations that have sent heartbeats. It's safe
+// for concurrent use.
 type Alive struct {
 	clock         clock.Clock
 	startedMillis int64
 
-	mutex sync.Mutex
-	// newest is the last heartbeat of the newest incarnation; firstMillis and lastMillis
-	// are when its first and its last one came.
-	newest                  notice.Notice
+	mutex        sync.Mutex
+	incarnations map[incarnation]proof
+}
+
+// incarnation identifies a start of a target.
+type incarnation struct {
+	target     string
+	bornMillis int64
+}
+
+func incarnationOf(n notice.Notice) incarnation {
+	return incarnation{n.Target, n.BornMillis}
+}
+
+// proof is what is known of one incarnation.
+type proof struct {
+	// sequence is that of the newest heartbeat. FirstMillis and lastMillis are when the
+	// first and the newest one came.
+	sequence                int64
 	firstMillis, lastMillis int64
-	// answered is true once the target has said that it's ready. denies is true if it last
+	// answered is true once the target has said that it's ready. Denies is true if it last
 	// said that it isn't.
 	answered, denies bool
 }
 
 // New returns an Alive of a node that starts now.
 func New(c clock.Clock) *Alive {
-	return &Alive{clock: c, startedMillis: c.Now()}
+	return &Alive{clock: c, startedMillis: c.Now(), incarnations: make(map[incarnation]proof)}
 }
 
 // Learn takes in a heartbeat when it comes.
@@ -45,15 +63,30 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.clock.Now()
+	p, ok := a.incarnations[incarnationOf(n)]
 	switch {
-	case a.isNewest(n):
-		if n.Sequence > a.newest.Sequence {
-			a.newest, a.lastMillis = n, now
+	case !ok:
+		p = proof{sequence: n.Sequence, firstMillis: now, lastMillis: now}
+	case n.Sequence > p.sequence:
+		p.sequence, p.lastMillis = n.Sequence, now
+	}
+	a.incarnations[incarnationOf(n)] = p
+	if len(a.incarnations) > maxIncarnations {
+		a.dropOldest()
+	}
+}
+
+// dropOldest drops the incarnation that sent no heartbeat for longest. The mutex must be
+// held.
+func (a *Alive) dropOldest() {
+	var oldest incarnation
+	oldestMillis := a.clock.Now() + 1
+	for i, p := range a.incarnations {
+		if p.lastMillis < oldestMillis {
+			oldest, oldestMillis = i, p.lastMillis
 		}
-	case a.newest.Target == "" || n.BornMillis >= a.newest.BornMillis:
-		a.newest, a.firstMillis, a.lastMillis = n, now, now
-		a.answered, a.denies = false, false
 	}
+	delete(a.incarnations, oldest)
 }
 
 // SetReady records that the target that sent this heartbeat was asked whether it's ready,
@@ -61,11 +94,13 @@
 func (a *Alive) SetReady(n notice.Notice, ready bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if !a.isNewest(n) {
+	p, ok := a.incarnations[incarnationOf(n)]
+	if !ok {
 		return
 	}
-	a.answered = a.answered || ready
-	a.denies = !ready
+	p.answered = p.answered || ready
+	p.denies = !ready
+	a.incarnations[incarnationOf(n)] = p
 }
 
 // Proven reports whether the target that sent this heartbeat hasn't left before the node
@@ -73,15 +108,10 @@
 func (a *Alive) Proven(n notice.Notice) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if !a.isNewest(n) {
+	p, ok := a.incarnations[incarnationOf(n)]
+	if !ok {
 		return false
 	}
-	goesOn := a.lastMillis-a.firstMillis >= minSpanMillis && !a.denies
-	return a.answered || goesOn || a.lastMillis-a.startedMillis >= MaxHeartbeatDelayMillis
-}
-
-// isNewest reports whether a heartbeat is of the newest incarnation. The mutex must be
-// held.
-func (a *Alive) isNewest(n notice.Notice) bool {
-	return n.Target == a.newest.Target && n.BornMillis == a.newest.BornMillis
+	goesOn := p.lastMillis-p.firstMillis >= minSpanMillis && !p.denies
+	return p.answered || goesOn || p.lastMillis-a.startedMillis >= MaxHeartbeatDelayMillis
 }
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -270,9 +270,7 @@
 // drain reads and drops what the peer still sends, until it has closed the connection or
 // has received everything for receivedTimeout, or until a timeout.
 func (c *conn) drain() {
-	// A read that Close has ended would take the bytes, and go on waiting.
-	c.reading.Lock()
-	defer c.reading.Unlock()
+	c.waitRead()
 	buffer := make([]byte, discardBytes)
 	began := time.Now()
 	checkedAt, progressAt, unreceived := began, began, c.unreceived()
@@ -306,6 +304,13 @@
 	c.linger.end(c, unreceived > 0)
 }
 
+// waitRead waits until the read that Close has ended returns. It would notice the next
+// deadline in place of the one that ended it, and go on waiting.
+func (c *conn) waitRead() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+}
+
 // unreceived returns how many bytes the peer hasn't received, with one for the end of the
 // connection. It's -1 if the system doesn't tell.
 func (c *conn) unreceived() int {
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -197,8 +197,11 @@
 	}
 	_, err := io.WriteString(client, "late")
 	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
 	_, err = server.Read(make([]byte, 1))
 	assert.Assert(t, errors.Is(err, net.ErrClosed), "%v", err)
+	assert.Assert(t, time.Since(began) < 300*time.Millisecond, "the read took %v", time.Since(began))
 	_, err = server.Write([]byte("x"))
 	assert.Assert(t, err != nil)
 	assert.Assert(t, errors.Is(server.SetReadDeadline(time.Time{}), net.ErrClosed))
--- a/sidecr/opening.go
+++ b/sidecr/opening.go
@@ -35,7 +35,8 @@
 // OnHeartbeat processes a heartbeat of the target.
 func (n *Sidecar) OnHeartbeat(ctx context.Context, b notice.Notice) {
 	n.alive.Learn(b)
-	if !b.Leaving && !n.mayOpen(b) {
+	// The gate ignores heartbeats of another service.
+	if !b.Leaving && b.Service == n.params.Service && !n.mayOpen(b) {
 		n.keepHeartbeat(b)
 		return
 	}
@@ -85,10 +86,10 @@
 // still tell, or the target was asked just before.
 func (n *Sidecar) askReady(b notice.Notice) {
 	now := n.clock.Now()
-	if now-n.startedMillis < minOpenDelayMillis || n.knowsLeft.Load() || now-n.askedMillis.Load() < askIntervalMillis || !n.asking.CompareAndSwap(false, true) {
+	if n.stopping.Load() || now-n.startedMillis < minOpenDelayMillis || n.knowsLeft.Load() || now-n.askedMillis.Load() < askIntervalMillis || !n.asking.CompareAndSwap(false, true) {
 		return
 	}
-	n.group.Go(func() {
+	go func() {
 		defer n.asking.Store(false)
 		if !n.gate.KnowsHealthPath() {
 			return
@@ -103,7 +104,7 @@
 		metrics.GetOrRegisterCounter("target.asked.answered", n.registry).Inc(1)
 		n.log.Info("node: the target tells whether it's ready", "Target", b.Target, "Sequence", b.Sequence, "Ready", ready)
 		n.alive.SetReady(b, ready)
-	})
+	}()
 }
 
 func (n *Sidecar) handleHeartbeat(ctx context.Context, b notice.Notice) {
