The bound on lingering connections holds while they're served

Cause: the bound was enforced only as a connection is accepted. Connections that were still served then, and lingered after that, exceeded it; and those given up before their first check weren't counted as cut.

Change: the bound is enforced as a connection begins to linger too, and counts each connection once, when it's given up. The test is stricter: no more than the bound at any moment, and each connection beyond it counts.

--- a/linger/linger.go
+++ b/linger/linger.go
@@ -106,12 +106,9 @@
 // add takes in a new connection.
 func (l *Linger) add(c *net.TCPConn) *conn {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.open++
-	isExcess := l.open > l.maxOpen
-	l.mutex.Unlock()
-	if isExcess {
-		l.closeFirst(1)
-	}
+	l.enforceBound()
 	return &conn{TCPConn: c, linger: l}
 }
 
@@ -120,45 +117,69 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for ; count > 0 && l.lingering.Len() > 0; count-- {
-		e := l.lingering.Front()
-		c, ok := e.Value.(*conn)
-		if !ok {
-			panic("linger: the list of lingering connections holds something else")
-		}
-		l.lingering.Remove(e)
-		c.element = nil
-		// Ends the wait in drain.
-		_ = c.TCPConn.Close()
+		l.giveUpFirst()
+	}
+}
+
+// enforceBound closes lingering connections while too many are open. The mutex must be
+// held.
+func (l *Linger) enforceBound() {
+	for l.open > l.maxOpen && l.lingering.Len() > 0 {
+		l.giveUpFirst()
 	}
 }
 
+// giveUpFirst closes the connection that has lingered for longest. The mutex must be held.
+func (l *Linger) giveUpFirst() {
+	c, ok := l.lingering.Front().Value.(*conn)
+	if !ok {
+		panic("linger: the list of lingering connections holds something else")
+	}
+	l.forget(c, c.unreceived() > 0)
+	// Ends the wait in drain.
+	_ = c.TCPConn.Close()
+}
+
 // begin records that a connection lingers.
 func (l *Linger) begin(c *conn) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	c.element = l.lingering.PushBack(c)
 	l.lingered++
+	l.enforceBound()
 }
 
 // end records that a connection was closed.
 func (l *Linger) end(c *conn, isCut bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.open--
-	if c.element != nil {
-		l.lingering.Remove(c.element)
+	l.forget(c, isCut)
+}
+
+// forget counts a connection as closed, unless it was counted before. The mutex must be
+// held.
+func (l *Linger) forget(c *conn, isCut bool) {
+	if c.isForgotten {
+		return
 	}
+	c.isForgotten = true
+	l.open--
 	if isCut {
 		l.cut++
 	}
+	if c.element != nil {
+		l.lingering.Remove(c.element)
+	}
 }
 
 // conn is a connection that lingers when it's closed.
 type conn struct {
 	*net.TCPConn
 	linger *Linger
-	// element is its place among the lingering connections.
-	element *list.Element
+	// element is its place among the lingering connections. IsForgotten is true once it
+	// doesn't count as open any more.
+	element     *list.Element
+	isForgotten bool
 	// reading is held during a read.
 	reading sync.Mutex
 	// hasEnded is true once the peer has ended the connection or reset it.
@@ -277,10 +298,8 @@
 	for now := began; now.Sub(began) < lingerTimeout; now = time.Now() {
 		_ = c.TCPConn.SetReadDeadline(now.Add(checkInterval))
 		if _, err := c.TCPConn.Read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			if !errors.Is(err, net.ErrClosed) {
-				// The kernel goes on sending to a peer that has only ended its own side.
-				unreceived = 0
-			}
+			// The kernel goes on sending to a peer that has only ended its own side.
+			unreceived = 0
 			break
 		}
 		if time.Since(checkedAt) < checkInterval {
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -156,11 +156,11 @@
 	for range clients {
 		_, err := io.WriteString(dial(t, address), closingRequest)
 		assert.NilError(t, err)
-		// One more connection may be open while it's served.
-		waitCounts(t, l, time.Second, func(lingering int, _, _ int64) bool { return lingering <= maxOpen+1 })
+		lingering, _, _ := l.Counts()
+		assert.Assert(t, lingering <= maxOpen, "%d lingering", lingering)
 	}
 	waitCounts(t, l, time.Second, func(lingering int, lingered, cut int64) bool {
-		return lingering <= maxOpen && lingered == clients && cut >= clients-maxOpen-1
+		return lingering <= maxOpen && lingered == clients && cut >= clients-maxOpen
 	})
 	assert.Check(t, runtime.NumGoroutine() <= goroutines+2*maxOpen, "%d goroutines", runtime.NumGoroutine())
 }
