A target that starts in the millisecond of its leave is a later one

What callers saw: a service whose servers were restarted under their IDs could be unused for 10 s.

Change: an incarnation that starts in that millisecond counts as later.

--- a/inbnd/departure.go
+++ b/inbnd/departure.go
@@ -22,10 +22,11 @@
 
 // lastStartMillis returns the start time up to which incarnations have left. A leave
 // request stands for all that started before it, for as long as their heartbeats may
-// arrive: one that goes on sending heartbeats hasn't left.
+// arrive: one that goes on sending heartbeats hasn't left. One that started in the same
+// millisecond has started after it.
 func (d departure) lastStartMillis(c clock.Clock) int64 {
 	if c.Since(d.requestMillis) < alive.MaxHeartbeatDelayMillis {
-		return max(d.startMillis, d.requestMillis)
+		return max(d.startMillis, d.requestMillis-1)
 	}
 	return d.startMillis
 }
--- a/inbnd/departure_test.go
+++ b/inbnd/departure_test.go
@@ -39,3 +39,16 @@
 	g.HandleHeartbeat(heartbeat("a", 999_000, 2))
 	assertTarget(t, g, "")
 }
+
+// A target that starts again under its ID in the millisecond of its leave request is taken for
+// the one that left.
+func TestTargetThatStartsInTheMillisecondOfItsLeaveIsIgnored(t *testing.T) {
+	g, _ := newGate()
+	const nowMillis = 1_000_000
+	g.HandleHeartbeat(heartbeat("a", nowMillis-1000, 1))
+	g.MarkLeaving("a")
+	g.HandleHeartbeat(heartbeat("a", nowMillis-1000, 2))
+	assertTarget(t, g, "")
+	g.HandleHeartbeat(heartbeat("a", nowMillis, 1))
+	assertTarget(t, g, "a")
+}
