--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]play{
 	"grace": playGrace,
+	"share": playShare,
 }
 
 func main() {
