--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,8 +21,9 @@
 type play func(b *bed, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
-	"grace": playGrace,
-	"share": playShare,
+	"grace":  playGrace,
+	"poison": playPoison,
+	"share":  playShare,
 }
 
 func main() {
