review: add a case of a drain that is acknowledged and ignored

Cause: a node takes a malformed heartbeat of another writer for one of its server, and then ignores what the server says as older.

--- a/review/standin-3/machine.go
+++ b/review/standin-3/machine.go
@@ -36,6 +36,16 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	starts  int
+	// state is that of the server's heartbeats; drainingAt is when one with the state
+	// draining was acknowledged. HeldBeats says that they don't arrive at present.
+	state      string
+	drainingAt time.Time
+	beatsHeld  bool
+	// beats counts the heartbeats that were sent.
+	beats int
+	// startedAt is when the server started.
+	startedAt time.Time
+	isStopped bool
 	// stopBeats ends the heartbeats of the server.
 	stopBeats chan struct{}
 }
@@ -54,7 +64,7 @@
 // addMachine adds a machine with a server of the service in a zone, and starts the server.
 func (b *bed) addMachine(zone, service, grace string, prepare func(*server.Server)) (*machine, error) {
 	host := len(b.machines) + 1
-	m := &machine{bed: b, name: fmt.Sprintf("sidecar-%s-%d", zone, host), zone: zone, host: host, service: service, grace: grace, stopBeats: make(chan struct{})}
+	m := &machine{bed: b, name: fmt.Sprintf("sidecar-%s-%d", zone, host), zone: zone, host: host, service: service, grace: grace, state: "ready", stopBeats: make(chan struct{})}
 	var err error
 	if m.base, err = b.freePorts(host); err != nil {
 		return nil, err
@@ -69,6 +79,7 @@
 	if err := m.server.Start(b.address(host, 0)); err != nil {
 		return nil, err
 	}
+	m.startedAt = time.Now()
 	b.machines = append(b.machines, m)
 	go m.beat()
 	return m, nil
@@ -101,7 +112,7 @@
 // beat sends the server's heartbeats until the machine ends.
 func (m *machine) beat() {
 	for {
-		_ = m.server.SendHeartbeat("ready")
+		m.sendBeat()
 		select {
 		case <-m.stopBeats:
 			return
@@ -110,6 +121,63 @@
 	}
 }
 
+// sendBeat sends one heartbeat with the present state.
+func (m *machine) sendBeat() {
+	m.mutex.Lock()
+	state, held := m.state, m.beatsHeld
+	if !held {
+		m.beats++
+	}
+	m.mutex.Unlock()
+	if held {
+		return
+	}
+	err := m.server.SendHeartbeat(state)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err == nil && state == "draining" && m.drainingAt.IsZero() {
+		m.drainingAt = time.Now()
+	}
+}
+
+// holdBeats keeps the server from sending heartbeats.
+func (m *machine) holdBeats() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.beatsHeld = true
+}
+
+// drain has the server say that it drains, from now on.
+func (m *machine) drain() {
+	m.mutex.Lock()
+	m.state = "draining"
+	m.mutex.Unlock()
+	m.sendBeat()
+}
+
+// awaitDraining returns when the node acknowledged that the server drains.
+func (m *machine) awaitDraining() (time.Time, error) {
+	const timeout = 4 * time.Second
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		m.mutex.Lock()
+		at := m.drainingAt
+		m.mutex.Unlock()
+		if !at.IsZero() {
+			return at, nil
+		}
+	}
+	return time.Time{}, errors.New("the drain wasn't acknowledged")
+}
+
+// stopServer ends the server and its heartbeats.
+func (m *machine) stopServer() {
+	if !m.isStopped {
+		m.isStopped = true
+		close(m.stopBeats)
+		m.server.Stop()
+	}
+}
+
 // settingsPath is the path of the settings file.
 func (m *machine) settingsPath() string {
 	return filepath.Join(m.bed.folder, m.name+".conf")
@@ -202,12 +270,11 @@
 
 // end ends the node and the server.
 func (m *machine) end() {
-	close(m.stopBeats)
+	defer m.stopServer()
 	if m.ended != nil && !m.awaitEnd(0) {
 		m.signal(syscall.SIGKILL)
 		m.awaitEnd(time.Second)
 	}
-	m.server.Stop()
 }
 
 // isReady asks the node as the platform does.
