review: add a case of a request that crashes one part of a split route

Cause: each run that ends well takes the crashes of a request back, also at another service than the one whose servers crash. All requests are POST, and the claims name the site.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -30,9 +30,12 @@
 // deadline is how long a client waits for an answer.
 const deadline = 5 * time.Second
 
+// requestBody is the body of all requests, which are sent with POST.
+const requestBody = "boat=4"
+
 // send sends one request on a new connection, which it closes after the answer, and waits
 // for that until the deadline. It never tries again.
-func (b *bed) send(at *machine, method, path, body string) (s sent) {
+func (b *bed) send(at *machine, path string) (s sent) {
 	s = sent{id: fmt.Sprintf("9c41d07b%08x", lastID.Add(1))}
 	defer func() { s.endedAt = time.Now() }()
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("%s%d", b.prefix, clientHost))}}
@@ -45,19 +48,17 @@
 	s.connected = true
 	_ = c.SetDeadline(time.Now().Add(deadline))
 	head := []string{
-		method + " " + path + " HTTP/1.1", "Host: " + hostName, "Request-Id: " + s.id,
+		"POST " + path + " HTTP/1.1", "Host: " + hostName, "Request-Id: " + s.id,
 		fmt.Sprintf("Deadline-Ms: %d", deadline.Milliseconds()), "Authorization: Bearer " + tenantKey,
+		fmt.Sprintf("Content-Length: %d", len(requestBody)),
 	}
-	if body != "" {
-		head = append(head, fmt.Sprintf("Content-Length: %d", len(body)))
-	}
-	_, err = io.WriteString(c, strings.Join(head, "\r\n")+"\r\n\r\n"+body)
+	_, err = io.WriteString(c, strings.Join(head, "\r\n")+"\r\n\r\n"+requestBody)
 	s.sentAt = time.Now()
 	if err != nil {
 		s.err = err
 		return s
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		s.err = err
 		return s
--- a/review/standin-3/load.go
+++ b/review/standin-3/load.go
@@ -16,13 +16,13 @@
 }
 
 // startLoad sends requests at all machines, each gap apart.
-func (b *bed) startLoad(method, path string, gap time.Duration) *load {
+func (b *bed) startLoad(path string, gap time.Duration) *load {
 	l := &load{bed: b, done: make(chan struct{})}
 	for _, m := range b.machines {
 		l.clients.Go(func() {
 			for {
 				l.clients.Go(func() {
-					s := b.send(m, method, path, "boat=4")
+					s := b.send(m, path)
 					l.mutex.Lock()
 					defer l.mutex.Unlock()
 					l.sent = append(l.sent, s)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 type play func(b *bed, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
+	"canary":     playCanary,
 	"forged":     playForged,
 	"unrecorded": playUnrecorded,
 	"poison":     playPoison,
--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -2,22 +2,44 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
 	"bergamotloom.example/platform/server"
 )
 
-// playPoison sends a request again and again that crashes each server which begins to run
-// it: with the same path, caller and body, and another query each time.
+// poison is a request that crashes servers, as it comes again and again.
+type poison struct {
+	// variesQuery says that it has another query each time.
+	variesQuery bool
+	// kind and split are those of its route, all of whose requests go to the service whose
+	// servers crash if there's no split.
+	kind  string
+	split []part
+	// oneMachine says that it comes at the first machine only, where no other client is.
+	oneMachine bool
+	gap        time.Duration
+	count      int
+}
+
+// playPoison sends a request that crashes each server which begins to run it: with the
+// same path, caller and body, and another query each time.
 func playPoison(b *bed, trouble bool) ([]string, error) {
+	return b.playPoison(poison{variesQuery: true, kind: "safe", gap: 1500 * time.Millisecond, count: 16}, trouble)
+}
+
+// playCanary sends the same request again and again. Its route is split, and it crashes each
+// server of one of the two services.
+func playCanary(b *bed, trouble bool) ([]string, error) {
+	split := []part{{"dockwatch", 30}, {"bookdesk", 70}}
+	return b.playPoison(poison{kind: "unsafe", split: split, oneMachine: true, gap: 700 * time.Millisecond, count: 40}, trouble)
+}
+
+func (b *bed) playPoison(p poison, trouble bool) ([]string, error) {
 	const (
 		poisonPath   = "/boats/2f"
 		crashDelay   = 30 * time.Millisecond
 		restartDelay = 2 * time.Second
-		poisonGap    = 1500 * time.Millisecond
-		poisonCount  = 16
 		goodGap      = 25 * time.Millisecond
 		stability    = 3 * time.Second
 		// mostRetries is how often it may reach a server later than stability after its
@@ -25,6 +47,7 @@
 		mostRetries  = 3
 		freeCrashes  = 3
 		serverCount  = 4
+		soundCount   = 2
 		goodPathBase = "/boats/"
 	)
 	if _, err := b.addMachine("lakes-z1", "guideshelf", nil); err != nil {
@@ -43,10 +66,15 @@
 		}
 		servers = append(servers, m)
 	}
+	for i := 0; i < soundCount && p.split != nil; i++ {
+		if _, err := b.addMachine(fmt.Sprintf("lakes-z%d", 1+i), "bookdesk", nil); err != nil {
+			return nil, err
+		}
+	}
 	if err := b.putConfig(configuration{
 		version:  7,
-		routes:   []routeRow{{name: "r-boats", prefix: goodPathBase, kind: "safe", service: "dockwatch"}},
-		services: []string{"dockwatch", "guideshelf"},
+		routes:   []routeRow{{name: "r-boats", prefix: goodPathBase, kind: p.kind, service: "dockwatch", split: p.split}},
+		services: []string{"dockwatch", "bookdesk", "guideshelf"},
 	}); err != nil {
 		return nil, err
 	}
@@ -62,7 +90,8 @@
 	clients.Go(func() {
 		for n := 0; ; n++ {
 			clients.Go(func() {
-				s := b.send(b.machines[n%len(b.machines)], http.MethodGet, fmt.Sprintf("%sg%d", goodPathBase, n), "")
+				others := b.machines[1:]
+				s := b.send(others[n%len(others)], fmt.Sprintf("%sg%d", goodPathBase, n))
 				mutex.Lock()
 				defer mutex.Unlock()
 				counts[s.status]++
@@ -77,15 +106,23 @@
 	var late []string
 	crashes := 0
 	var thirdAt time.Time
-	for n := range poisonCount {
+	for n := range p.count {
 		sentAt := time.Now()
-		s := b.send(b.machines[n%len(b.machines)], http.MethodGet, fmt.Sprintf("%s?sent=%d", poisonPath, sentAt.UnixMilli()), "")
+		path := poisonPath
+		if p.variesQuery {
+			path += fmt.Sprintf("?sent=%d", sentAt.UnixMilli())
+		}
+		at := b.machines[n%len(b.machines)]
+		if p.oneMachine {
+			at = b.machines[0]
+		}
+		s := b.send(at, path)
 		runs := 0
 		for _, m := range servers {
 			count, _ := m.server.Runs(s.id)
 			runs += count
 		}
-		b.note("poison %d at %s: request %s ran %d times: %s", n+1, b.machines[n%len(b.machines)].name, s.id, runs, s.outcome())
+		b.note("poison %d at %s: request %s ran %d times at a server that crashes: %s", n+1, at.name, s.id, runs, s.outcome())
 		if trouble && runs > 0 && crashes >= freeCrashes && sentAt.Sub(thirdAt) > stability {
 			late = append(late, fmt.Sprintf("BUDGET: request %s, sent %v after the third crash, crashed %d more servers", s.id, sentAt.Sub(thirdAt).Round(time.Millisecond), runs))
 		}
@@ -93,11 +130,11 @@
 			thirdAt = time.Now()
 		}
 		crashes += runs
-		time.Sleep(poisonGap)
+		time.Sleep(p.gap)
 	}
 	close(done)
 	clients.Wait()
-	b.note("poison ran %d times; answers to other requests by status, 0 for none: %v", crashes, counts)
+	b.note("poison ran %d times at servers that crash; answers to other requests by status, 0 for none: %v", crashes, counts)
 	if len(late) <= mostRetries {
 		return nil, nil
 	}
--- a/review/standin-3/share.go
+++ b/review/standin-3/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -51,7 +50,7 @@
 			for n := 0; ; n++ {
 				clients.Go(func() {
 					path := fmt.Sprintf("/path%d/2f", n%routeCount)
-					s := b.send(m, http.MethodPost, path, "boat=4")
+					s := b.send(m, path)
 					runs, _ := idle.server.Runs(s.id)
 					mutex.Lock()
 					defer mutex.Unlock()
--- a/review/standin-3/unrecorded.go
+++ b/review/standin-3/unrecorded.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -44,7 +43,7 @@
 	if err := b.startAll(); err != nil {
 		return nil, err
 	}
-	load := b.startLoad(http.MethodPost, "/hire/2f", gap)
+	load := b.startLoad("/hire/2f", gap)
 	time.Sleep(2 * time.Second)
 	leaver := desks[0]
 	began := time.Now()
